--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/LeaseId.kt
@@ -0,0 +1,10 @@
+package io.knapweedferry.api
+
+import kotlinx.serialization.Serializable
+
+/** Identifies a reservation of decode capacity. */
+@Serializable
+@JvmInline
+public value class LeaseId(
+    public val value: String,
+)
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/StreamName.kt
@@ -0,0 +1,10 @@
+package io.knapweedferry.api
+
+import kotlinx.serialization.Serializable
+
+/** Name of a stream in the platform's log. */
+@Serializable
+@JvmInline
+public value class StreamName(
+    public val value: String,
+)
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/AnswerEnd.kt
@@ -0,0 +1,19 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.RequestId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Proves the end of an answer by its token count and digest. */
+@Serializable
+@SerialName("answer_end")
+public data class AnswerEnd(
+    val requestId: RequestId,
+    val attempt: Int,
+    val tokenCount: Int,
+    /** Digest of all token texts from position 0, see AnswerDigest. */
+    val digest: Long,
+    val finishReason: String,
+    val load: LoadDigest,
+) : Message
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/Cancel.kt
@@ -0,0 +1,17 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.OrganisationId
+import io.knapweedferry.api.RequestId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Ends whatever the sidecar holds for one attempt of a request. Answered by [Cancelled]. */
+@Serializable
+@SerialName("cancel")
+public data class Cancel(
+    val requestId: RequestId,
+    val organisation: OrganisationId,
+    val attempt: Int,
+    val endpoint: EndpointId,
+) : Message
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/ConfigOffer.kt
@@ -0,0 +1,16 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.Revision
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Configuration of a peer, or only its revision if it is not newer than asked for. */
+@Serializable
+@SerialName("config_offer")
+public data class ConfigOffer(
+    val revision: Revision,
+    /** Last log offset that the peer folded. */
+    val foldedOffset: Long,
+    /** Configuration state as JSON, or null if the peer has nothing newer. */
+    val stateJson: String?,
+) : Message
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/Prefilled.kt
@@ -0,0 +1,17 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.KvSource
+import io.knapweedferry.api.LoadDigest
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A finished prefill; its cache stays exportable for a short time only. */
+@Serializable
+@SerialName("prefilled")
+public data class Prefilled(
+    val source: KvSource,
+    val cachedTokens: Int,
+    val queuedMs: Long,
+    val prefillMs: Long,
+    val load: LoadDigest,
+) : Message
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/Refused.kt
@@ -0,0 +1,14 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.Refusal
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Typed refusal: nothing was submitted to the endpoint. */
+@Serializable
+@SerialName("refused")
+public data class Refused(
+    val refusal: Refusal,
+    val load: LoadDigest? = null,
+) : Message
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/Reserved.kt
@@ -0,0 +1,16 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.LeaseId
+import io.knapweedferry.api.LoadDigest
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Grants a lease on decode capacity; it lapses unless [Decode] uses it in time. */
+@Serializable
+@SerialName("reserved")
+public data class Reserved(
+    val lease: LeaseId,
+    val leaseMs: Long,
+    val queuedMs: Long,
+    val load: LoadDigest,
+) : Message
--- /dev/null
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/ServiceAnswer.kt
@@ -0,0 +1,19 @@
+package io.knapweedferry.api.message
+
+import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.RequestId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Whole reply of a plain service. */
+@Serializable
+@SerialName("service_answer")
+public data class ServiceAnswer(
+    val requestId: RequestId,
+    val attempt: Int,
+    val status: Int,
+    val contentType: String,
+    val body: String,
+    val digest: Long,
+    val load: LoadDigest? = null,
+) : Message
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/state/ServicePolicy.kt
@@ -0,0 +1,12 @@
+package io.knapweedferry.config.state
+
+import io.knapweedferry.api.OperationName
+import io.knapweedferry.api.Rank
+import kotlinx.serialization.Serializable
+
+/** A plain service and its operations. */
+@Serializable
+public data class ServicePolicy(
+    val operations: Map<OperationName, OperationPolicy>,
+    val rank: Rank = Rank.STANDARD,
+)
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/CacheEvent.kt
@@ -0,0 +1,8 @@
+package io.knapweedferry.platform.engine
+
+/** A change of the prefix cache of an engine; a hint, because events are late and have gaps. */
+public data class CacheEvent(
+    val sequence: Long,
+    val prefixHash: String,
+    val cached: Boolean,
+)
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/EngineOrder.kt
@@ -0,0 +1,12 @@
+package io.knapweedferry.platform.engine
+
+/** Order to load a model version, an adapter or to change role. */
+public data class EngineOrder(
+    val model: String,
+    val version: String,
+    val adapter: String?,
+    val role: String,
+    /** Log offset of the configuration that caused the order. */
+    val fencing: Long,
+    val incarnation: String,
+)
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/PrefillOrder.kt
@@ -0,0 +1,11 @@
+package io.knapweedferry.platform.engine
+
+/** Order to compute the KV cache of a prompt. */
+public data class PrefillOrder(
+    val id: EngineRequestId,
+    val model: String,
+    val prompt: String,
+    /** Lower is more urgent. */
+    val priority: Int,
+    val timeoutMs: Long,
+)
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/instance/InstanceState.kt
@@ -0,0 +1,10 @@
+package io.knapweedferry.platform.instance
+
+import kotlinx.serialization.Serializable
+
+/** State of an instance in the platform's list. */
+@Serializable
+public enum class InstanceState {
+    LIVE,
+    LEAVING,
+}
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/weight/WeightStore.kt
@@ -0,0 +1,14 @@
+package io.knapweedferry.platform.weight
+
+import arrow.core.Either
+import io.knapweedferry.api.ModelName
+import io.knapweedferry.platform.PlatformError
+
+/** The platform's rate-limited store of model weights. */
+public interface WeightStore {
+    /** Returns size and load rate of one version of a model, for the cost of a plan. */
+    public suspend fun describe(
+        model: ModelName,
+        version: String,
+    ): Either<PlatformError, WeightInfo>
+}
--- /dev/null
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/FifoGate.kt
@@ -0,0 +1,74 @@
+package io.knapweedferry.policy.admission
+
+import io.knapweedferry.api.Rank
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+
+/** First come, first served gate without ranks: the baseline that other gates are measured against. */
+public class FifoGate(
+    private val limits: GateLimits,
+) : AdmissionGate {
+    private val waiting = ArrayDeque<Ticket>()
+    private val holders = HashMap<TicketId, Ticket>()
+
+    override fun offer(
+        ticket: Ticket,
+        nowMs: Long,
+    ): GateChanges {
+        if (ticket.pieces > limits.pieces) return refuse(ticket, RefusalReason.PROMPT_TOO_LONG)
+        if (waiting.size >= limits.queueLimit) return refuse(ticket, RefusalReason.QUEUE_FULL)
+        waiting.addLast(ticket)
+        return GateChanges(granted = grantWaiting())
+    }
+
+    override fun release(
+        id: TicketId,
+        nowMs: Long,
+    ): GateChanges {
+        holders.remove(id) ?: waiting.removeAll { it.id == id }
+        return GateChanges(granted = grantWaiting())
+    }
+
+    override fun expire(nowMs: Long): GateChanges {
+        val late = waiting.filter { it.grantByMs <= nowMs }
+        waiting.removeAll(late.toSet())
+        val refused = late.associate { it.id to Refusal(RefusalReason.DEADLINE, "waited until its deadline") }
+        return GateChanges(granted = grantWaiting(), refused = refused)
+    }
+
+    override fun nextDeadlineMs(): Long? = waiting.minOfOrNull { it.grantByMs }
+
+    override fun observeInterTokenMs(interTokenMs: Double): Unit = Unit
+
+    override fun observeServiceMs(serviceMs: Double): Unit = Unit
+
+    override fun load(nowMs: Long): GateLoad =
+        GateLoad(
+            freeSlots = limits.slots - holders.size,
+            freePieces = freePieces(),
+            queuedUrgent = waiting.count { it.rank == Rank.URGENT },
+            queuedStandard = waiting.count { it.rank == Rank.STANDARD },
+            queuedBackground = waiting.count { it.rank == Rank.BACKGROUND },
+            waitMs = 0,
+            interTokenMs = 0,
+        )
+
+    private fun grantWaiting(): List<TicketId> {
+        val granted = mutableListOf<TicketId>()
+        while (waiting.isNotEmpty() && fits(waiting.first())) {
+            val next = waiting.removeFirst()
+            holders[next.id] = next
+            granted += next.id
+        }
+        return granted
+    }
+
+    private fun fits(ticket: Ticket): Boolean = holders.size < limits.slots && ticket.pieces <= freePieces()
+
+    private fun freePieces(): Int = limits.pieces - holders.values.sumOf { it.pieces }
+
+    private fun refuse(
+        ticket: Ticket,
+        reason: RefusalReason,
+    ) = GateChanges(refused = mapOf(ticket.id to Refusal(reason)))
+}
--- /dev/null
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/TicketId.kt
@@ -0,0 +1,7 @@
+package io.knapweedferry.policy.admission
+
+/** Identifies a request inside the gate of one endpoint. */
+@JvmInline
+public value class TicketId(
+    public val value: String,
+)
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ReplySink.kt
@@ -0,0 +1,9 @@
+package io.knapweedferry.session
+
+import io.knapweedferry.api.message.Message
+
+/** Where a handler sends replies of one exchange. */
+public interface ReplySink {
+    /** Sends a reply; false if the session is gone, which also holds for all later replies. */
+    public suspend fun send(message: Message): Boolean
+}
