--- a/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/FailureReason.kt
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/FailureReason.kt
@@ -15,6 +15,7 @@
     SERVICE_SILENT("service_silent", "check the effect at the service; it did not answer in time"),
     SESSION_LOST("session_lost", "retry; the link to the sidecar broke"),
     INCOMPLETE_ANSWER("incomplete_answer", "retry; the answer did not match its count and digest"),
+    PARTLY_RUN("partly_run", "retry; an earlier attempt reached an endpoint and no other place was found"),
     CANCELLED("cancelled", "nothing to do; the caller cancelled"),
     DEADLINE("deadline", "retry with a longer deadline"),
     PREEMPTED("preempted", "nothing to do; the stream resumes when there is room"),
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
@@ -0,0 +1,55 @@
+package io.knapweedferry.entry.fleet
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.config.state.ConfigSource
+import io.knapweedferry.platform.instance.InstanceList
+import io.knapweedferry.platform.instance.InstanceState
+import io.knapweedferry.platform.instance.ListedInstance
+import kotlinx.coroutines.delay
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Joins the platform's instance list with the configuration. Requests read one immutable [Fleet]; the poll loop replaces it.
+ * When the list cannot be read the last one stays in use, because endpoints refuse by themselves once they leave.
+ */
+internal class FleetView(
+    private val instanceList: InstanceList,
+    private val config: ConfigSource,
+    private val pollMs: Long,
+) {
+    private val listed = AtomicReference<List<ListedInstance>>(emptyList())
+    private val fleet = AtomicReference(Fleet.EMPTY)
+
+    fun current(): Fleet = fleet.get()
+
+    /** Session address of an endpoint, also while its instance is leaving or the configuration no longer uses it. */
+    fun addressOf(endpoint: EndpointId): String? =
+        listed.get().firstOrNull { instance -> instance.endpoints.any { it.endpoint == endpoint } }?.sessionAddress
+
+    suspend fun poll() {
+        while (true) {
+            refresh()
+            delay(pollMs.milliseconds)
+        }
+    }
+
+    suspend fun refresh() {
+        instanceList.list().onRight { listed.set(it) }
+        fleet.set(join(listed.get()))
+    }
+
+    private fun join(instances: List<ListedInstance>): Fleet {
+        val assignments = config.current()?.state?.endpoints ?: return Fleet.EMPTY
+        val members =
+            instances
+                .filter { it.state == InstanceState.LIVE }
+                .flatMap { instance -> instance.endpoints.map { instance to it.endpoint } }
+                .mapNotNull { (instance, endpoint) ->
+                    assignments[endpoint]
+                        ?.takeUnless { it.draining }
+                        ?.let { FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, it) }
+                }
+        return Fleet(members.associateBy { it.endpoint })
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/IncarnationCache.kt
@@ -0,0 +1,29 @@
+package io.knapweedferry.entry.fleet
+
+import arrow.core.Either
+import arrow.core.flatMap
+import io.knapweedferry.api.Incarnation
+import io.knapweedferry.api.message.Describe
+import io.knapweedferry.api.message.Described
+import io.knapweedferry.session.SessionClient
+import io.knapweedferry.session.SessionError
+import java.util.concurrent.ConcurrentHashMap
+
+/** Remembers the incarnation of each sidecar, which claims must name. */
+internal class IncarnationCache(
+    private val sessions: SessionClient,
+) {
+    private val known = ConcurrentHashMap<String, Incarnation>()
+
+    suspend fun incarnationOf(address: String): Either<SessionError, Incarnation> {
+        known[address]?.let { return Either.Right(it) }
+        return sessions
+            .ask(address, Describe)
+            .flatMap { if (it is Described) Either.Right(it.incarnation) else unexpectedReply(it) }
+            .onRight { known[address] = it }
+    }
+
+    fun forget(address: String) {
+        known.remove(address)
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/CallerRequests.kt
@@ -0,0 +1,26 @@
+package io.knapweedferry.entry.http
+
+import com.fasterxml.uuid.Generators
+import io.javalin.http.Context
+import io.knapweedferry.api.RequestId
+import io.knapweedferry.entry.pipeline.CallerRequest
+
+/** Reads the headers that all caller routes share. */
+internal object CallerRequests {
+    private const val MAX_ID_CHARS = 128
+    private const val BEARER = "Bearer "
+    private val idPattern = Regex("[A-Za-z0-9._:-]{1,$MAX_ID_CHARS}")
+    private val newIds = Generators.timeBasedEpochGenerator()
+
+    fun read(context: Context): CallerRequest {
+        val requestId = RequestId(context.header("X-Request-Id")?.takeIf(idPattern::matches) ?: newIds.generate().toString())
+        context.header("X-Request-Id", requestId.value)
+        return CallerRequest(
+            requestId = requestId,
+            bearerToken = context.header("Authorization")?.takeIf { it.startsWith(BEARER) }?.removePrefix(BEARER),
+            body = context.body(),
+            idempotencyKey = context.header("Idempotency-Key"),
+            lastEventId = context.header("Last-Event-ID"),
+        )
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ProblemDetail.kt
@@ -0,0 +1,75 @@
+package io.knapweedferry.entry.http
+
+import io.knapweedferry.api.Outcome
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RequestId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Error body in the shape of RFC 9457. */
+@Serializable
+internal data class ProblemDetail(
+    val type: String,
+    val title: String,
+    val status: Int,
+    val detail: String,
+    @SerialName("request_id") val requestId: String,
+    /** "not_run", "failed" or "unknown": what is known about the effect of the request. */
+    val outcome: String,
+    @SerialName("retry_after_ms") val retryAfterMs: Long? = null,
+) {
+    companion object {
+        private const val TYPE_PREFIX = "urn:knapweedferry:problem:"
+        private const val STATUS_FAILED = 502
+        private const val STATUS_UNKNOWN = 504
+
+        fun of(
+            refusal: Refusal,
+            requestId: RequestId,
+        ) = ProblemDetail(
+            type = TYPE_PREFIX + refusal.reason.code,
+            title = refusal.reason.code,
+            status = refusal.reason.httpStatus,
+            detail = refusal.message,
+            requestId = requestId.value,
+            outcome = "not_run",
+            retryAfterMs = refusal.retryAfterMs,
+        )
+
+        /** Null for an outcome that is an answer. */
+        fun of(
+            outcome: Outcome,
+            requestId: RequestId,
+        ): ProblemDetail? =
+            when (outcome) {
+                is Outcome.Completed -> null
+                is Outcome.NotRun -> of(outcome.refusal, requestId)
+                is Outcome.Failed -> failed(outcome, requestId)
+                is Outcome.Unknown -> unknown(outcome, requestId)
+            }
+
+        private fun failed(
+            outcome: Outcome.Failed,
+            requestId: RequestId,
+        ) = ProblemDetail(
+            type = TYPE_PREFIX + outcome.reason.code,
+            title = outcome.reason.code,
+            status = STATUS_FAILED,
+            detail = "${outcome.detail}; ${outcome.reason.remedy}",
+            requestId = requestId.value,
+            outcome = "failed",
+        )
+
+        private fun unknown(
+            outcome: Outcome.Unknown,
+            requestId: RequestId,
+        ) = ProblemDetail(
+            type = TYPE_PREFIX + outcome.reason.code,
+            title = outcome.reason.code,
+            status = STATUS_UNKNOWN,
+            detail = "${outcome.detail}; ${outcome.reason.remedy}",
+            requestId = requestId.value,
+            outcome = "unknown",
+        )
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ServiceRoute.kt
@@ -0,0 +1,68 @@
+package io.knapweedferry.entry.http
+
+import arrow.core.Either
+import arrow.core.flatMap
+import io.javalin.http.Context
+import io.javalin.http.Handler
+import io.knapweedferry.api.Answer
+import io.knapweedferry.api.OperationName
+import io.knapweedferry.api.Outcome
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.ServiceName
+import io.knapweedferry.config.state.ConfigSource
+import io.knapweedferry.entry.pipeline.Authenticator
+import io.knapweedferry.entry.pipeline.CallerRequest
+import io.knapweedferry.entry.pipeline.InFlightLimit
+import io.knapweedferry.entry.pipeline.ServiceClassifier
+import io.knapweedferry.entry.pipeline.ServiceJob
+import io.knapweedferry.entry.pipeline.ServicePipeline
+import kotlinx.coroutines.runBlocking
+
+/** `POST /v1/services/{service}/{operation}`. */
+internal class ServiceRoute(
+    private val config: ConfigSource,
+    private val authenticator: Authenticator,
+    private val classifier: ServiceClassifier,
+    private val limit: InFlightLimit,
+    private val pipeline: ServicePipeline,
+) : Handler {
+    override fun handle(ctx: Context) {
+        val request = CallerRequests.read(ctx)
+        val service = ServiceName(ctx.pathParam("service"))
+        val operation = OperationName(ctx.pathParam("operation"))
+        val job = limit.enter().flatMap { classified(request, service, operation).onLeft { limit.leave() } }
+        job.fold(
+            { ProblemResponse.write(ctx, ProblemDetail.of(it, request.requestId)) },
+            {
+                try {
+                    answer(ctx, it)
+                } finally {
+                    limit.leave()
+                }
+            },
+        )
+    }
+
+    private fun classified(
+        request: CallerRequest,
+        service: ServiceName,
+        operation: OperationName,
+    ): Either<Refusal, ServiceJob> {
+        val snapshot = config.current() ?: return Either.Left(Refusal(RefusalReason.NOT_READY))
+        return authenticator
+            .authenticate(request.bearerToken, snapshot)
+            .flatMap { classifier.classify(request, it, service, operation, snapshot) }
+    }
+
+    private fun answer(
+        ctx: Context,
+        job: ServiceJob,
+    ) {
+        val outcome = runBlocking { pipeline.run(job) }
+        val problem = ProblemDetail.of(outcome, job.requestId)
+        if (problem != null) return ProblemResponse.write(ctx, problem)
+        val reply = (outcome as Outcome.Completed).answer as Answer.ServiceReply
+        ctx.status(reply.status).contentType(reply.contentType).result(reply.body)
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/CancelNotifier.kt
@@ -0,0 +1,23 @@
+package io.knapweedferry.entry.pipeline
+
+import io.knapweedferry.api.message.Cancel
+import io.knapweedferry.entry.fleet.FleetMember
+import io.knapweedferry.entry.fleet.ask
+import io.knapweedferry.session.SessionClient
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/** Tells sidecars in the background that an attempt is given up, so that they free what they hold for it. */
+internal class CancelNotifier(
+    private val scope: CoroutineScope,
+    private val sessions: SessionClient,
+) {
+    fun cancel(attempt: ModelAttempt) {
+        attempt.touched.forEach { member -> scope.launch { sessions.ask(member.address, request(attempt, member)) } }
+    }
+
+    private fun request(
+        attempt: ModelAttempt,
+        member: FleetMember,
+    ) = Cancel(attempt.job.requestId, attempt.job.organisation, attempt.number, member.endpoint)
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/CandidateList.kt
@@ -0,0 +1,58 @@
+package io.knapweedferry.entry.pipeline
+
+import io.knapweedferry.api.AvailabilityZone
+import io.knapweedferry.entry.fleet.FleetMember
+import io.knapweedferry.entry.fleet.LoadBoard
+import io.knapweedferry.policy.placement.PlacementCandidate
+import io.knapweedferry.policy.placement.PlacementNeed
+import io.knapweedferry.policy.placement.PlacementPolicy
+
+/** Orders fleet members for a job with the placement policy; endpoints to be avoided come only if there is nothing else. */
+internal class CandidateList(
+    private val policy: PlacementPolicy,
+    private val loads: LoadBoard,
+    private val availabilityZone: AvailabilityZone,
+    private val cachedTokensHint: (FleetMember, ModelJob) -> Int = { _, _ -> 0 },
+) {
+    fun forModel(
+        members: List<FleetMember>,
+        job: ModelJob,
+    ): List<FleetMember> {
+        val need = PlacementNeed(job.rank, job.promptTokens, piecesOf(job), availabilityZone)
+        return order(members, need) { cachedTokensHint(it, job) }
+    }
+
+    fun forService(
+        members: List<FleetMember>,
+        job: ServiceJob,
+    ): List<FleetMember> = order(members, PlacementNeed(job.rank, 0, 0, availabilityZone)) { 0 }
+
+    private fun order(
+        members: List<FleetMember>,
+        need: PlacementNeed,
+        hint: (FleetMember) -> Int,
+    ): List<FleetMember> {
+        val usable = members.filterNot { loads.isAvoided(it.endpoint) }.ifEmpty { members }
+        val byEndpoint = usable.associateBy { it.endpoint }
+        return policy.order(usable.map { candidate(it, hint(it)) }, need).mapNotNull { byEndpoint[it.endpoint] }
+    }
+
+    private fun candidate(
+        member: FleetMember,
+        cachedTokensHint: Int,
+    ) = PlacementCandidate(
+        endpoint = member.endpoint,
+        address = member.address,
+        availabilityZone = member.availabilityZone,
+        load = loads.load(member.endpoint),
+        loadAgeMs = loads.loadAgeMs(member.endpoint),
+        outstanding = loads.outstanding(member.endpoint),
+        cachedTokensHint = cachedTokensHint,
+    )
+
+    private fun piecesOf(job: ModelJob): Int = (job.promptTokens + job.maxOutputTokens + PIECE_TOKENS - 1) / PIECE_TOKENS
+
+    private companion object {
+        const val PIECE_TOKENS = 4_096
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InvokeStage.kt
@@ -0,0 +1,86 @@
+package io.knapweedferry.entry.pipeline
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.Answer
+import io.knapweedferry.api.AnswerDigest
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.Outcome
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.RetryReason
+import io.knapweedferry.api.message.AttemptFailed
+import io.knapweedferry.api.message.Invoke
+import io.knapweedferry.api.message.Refused
+import io.knapweedferry.api.message.ServiceAnswer
+import io.knapweedferry.entry.fleet.FleetMember
+import io.knapweedferry.entry.fleet.LoadBoard
+import io.knapweedferry.entry.fleet.ask
+import io.knapweedferry.session.SessionClient
+import io.knapweedferry.session.SessionError
+
+/** Sends one call to the sidecar of a service and sorts what came back by whether it may have been dispatched. */
+internal class InvokeStage(
+    private val loads: LoadBoard,
+    private val sessions: SessionClient,
+) {
+    suspend fun invoke(
+        request: Invoke,
+        member: FleetMember,
+    ): Either<InvokeEnd, Outcome> {
+        loads.started(member.endpoint)
+        val reply =
+            try {
+                sessions.ask(member.address, request)
+            } finally {
+                loads.ended(member.endpoint)
+            }
+        return reply.fold({ notAnswered(it, member) }, { message ->
+            when (message) {
+                is ServiceAnswer -> completed(message, request)
+                is Refused -> refused(message, member)
+                is AttemptFailed -> InvokeEnd.MaybeDispatched(message.reason, message.detail).left()
+                else -> InvokeEnd.MaybeDispatched(FailureReason.SERVICE_FAILED, "unexpected reply").left()
+            }
+        })
+    }
+
+    fun unreachable(
+        member: FleetMember,
+        detail: String,
+    ): Either<AttemptEnd, Nothing> {
+        loads.avoid(member.endpoint)
+        return AttemptEnd
+            .retryRefused(RetryReason.SERVICE_UNREACHABLE, Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, detail))
+            .left()
+    }
+
+    private fun notAnswered(
+        error: SessionError,
+        member: FleetMember,
+    ): Either<InvokeEnd, Outcome> {
+        loads.avoid(member.endpoint)
+        if (error is SessionError.Lost) return InvokeEnd.MaybeDispatched(FailureReason.SESSION_LOST, error.message).left()
+        return InvokeEnd.NotDispatched(Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, error.message)).left()
+    }
+
+    private fun refused(
+        refused: Refused,
+        member: FleetMember,
+    ): Either<InvokeEnd, Outcome> {
+        loads.heard(refused.load)
+        loads.avoid(member.endpoint)
+        return InvokeEnd.NotDispatched(refused.refusal).left()
+    }
+
+    private fun completed(
+        answer: ServiceAnswer,
+        request: Invoke,
+    ): Either<InvokeEnd, Outcome> {
+        loads.heard(answer.load)
+        val isOurs = answer.requestId == request.requestId && answer.digest == AnswerDigest.of(answer.body)
+        if (!isOurs) return InvokeEnd.MaybeDispatched(FailureReason.INCOMPLETE_ANSWER, "id or digest differs").left()
+        return Outcome.Completed(Answer.ServiceReply(answer.status, answer.contentType, answer.body)).right()
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/RankRule.kt
@@ -0,0 +1,31 @@
+package io.knapweedferry.entry.pipeline
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.Rank
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.config.state.OrganisationPolicy
+
+/** Decides the rank of a request: the one asked for, else the one of its kind of work, within what the organisation may use. */
+internal class RankRule {
+    fun rankOf(
+        requested: String?,
+        workRank: Rank?,
+        organisation: OrganisationPolicy,
+    ): Either<Refusal, Rank> {
+        val rank = if (requested == null) workRank ?: Rank.STANDARD else parse(requested) ?: return unknown(requested)
+        if (rank >= organisation.highestRank) return rank.right()
+        if (requested == null && workRank == null) return organisation.highestRank.right()
+        return Refusal(RefusalReason.RANK_NOT_ALLOWED, "rank ${rank.name.lowercase()} is above the organisation's limit").left()
+    }
+
+    private fun parse(text: String): Rank? = Rank.entries.firstOrNull { it.name.equals(text, ignoreCase = true) }
+
+    private fun unknown(text: String) = Refusal(RefusalReason.UNKNOWN_RANK, "'${text.take(MAX_ECHO_CHARS)}' is not a rank").left()
+
+    private companion object {
+        const val MAX_ECHO_CHARS = 40
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServiceClassifier.kt
@@ -0,0 +1,51 @@
+package io.knapweedferry.entry.pipeline
+
+import arrow.core.Either
+import arrow.core.left
+import io.knapweedferry.api.OperationName
+import io.knapweedferry.api.OrganisationId
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.ServiceName
+import io.knapweedferry.config.state.ConfigSnapshot
+import io.knapweedferry.config.state.OperationPolicy
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** Turns a service call into a job, or refuses it. */
+internal class ServiceClassifier(
+    private val timeSource: TimeSource,
+    private val keyRule: IdempotencyKeyRule,
+) {
+    fun classify(
+        request: CallerRequest,
+        organisation: OrganisationId,
+        service: ServiceName,
+        operation: OperationName,
+        config: ConfigSnapshot,
+    ): Either<Refusal, ServiceJob> {
+        val servicePolicy = config.state.services[service] ?: return unknown("service '${service.value}'")
+        val policy = servicePolicy.operations[operation] ?: return unknown("operation '${operation.value}'")
+        return keyRule.keyFor(policy.repeatable, request.idempotencyKey).map { key ->
+            ServiceJob(
+                requestId = request.requestId,
+                organisation = organisation,
+                service = service,
+                operation = operation,
+                rank = servicePolicy.rank,
+                body = request.body,
+                key = key,
+                deadline = timeSource.markNow() + deadlineMs(policy).milliseconds,
+            )
+        }
+    }
+
+    /** The service has its whole time to answer; the margin covers claim, queue and retries. */
+    private fun deadlineMs(policy: OperationPolicy): Long = policy.timeoutMs + MARGIN_MS
+
+    private fun unknown(what: String) = Refusal(RefusalReason.UNKNOWN_SERVICE, "$what is not configured").left()
+
+    private companion object {
+        const val MARGIN_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServicePipeline.kt
@@ -0,0 +1,170 @@
+package io.knapweedferry.entry.pipeline
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.ClaimRef
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.IdempotencyKey
+import io.knapweedferry.api.Outcome
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.RetryReason
+import io.knapweedferry.api.UnknownReason
+import io.knapweedferry.api.message.Invoke
+import io.knapweedferry.entry.claim.ClaimDecision
+import io.knapweedferry.entry.claim.ClaimRequest
+import io.knapweedferry.entry.claim.ClaimService
+import io.knapweedferry.entry.fleet.FleetMember
+import io.knapweedferry.entry.fleet.FleetView
+import io.knapweedferry.entry.fleet.IncarnationCache
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Runs a service call. Work that must not be repeated is dispatched only under a won claim; without one it is retried on
+ * other endpoints.
+ */
+internal class ServicePipeline(
+    private val fleet: FleetView,
+    private val candidates: CandidateList,
+    private val incarnations: IncarnationCache,
+    private val claims: ClaimService,
+    private val invoke: InvokeStage,
+    private val settle: SettleStage,
+    private val retries: RetryRule,
+) {
+    suspend fun run(job: ServiceJob): Outcome {
+        val progress = Progress()
+        return withTimeoutOrNull(job.deadlineMs().milliseconds) { attempts(job, progress) } ?: timedOut(job, progress)
+    }
+
+    /** Whether a timeout now may still be reported as "not run". */
+    private class Progress {
+        var mayHaveRun = false
+    }
+
+    private suspend fun attempts(
+        job: ServiceJob,
+        progress: Progress,
+    ): Outcome {
+        retries.requestStarted()
+        var number = 1
+        while (true) {
+            val end = attempt(job, number, progress).fold({ it }, { return it })
+            when (end) {
+                is AttemptEnd.Final -> return end.outcome
+                is AttemptEnd.Retry -> retries.mayRetry(number, end)?.let { return it }
+            }
+            number++
+        }
+    }
+
+    private suspend fun attempt(
+        job: ServiceJob,
+        number: Int,
+        progress: Progress,
+    ): Either<AttemptEnd, Outcome> {
+        val members = candidates.forService(fleet.current().servicesFor(job.service), job)
+        val member = members.firstOrNull() ?: return notRun(Refusal(RefusalReason.NO_ENDPOINT, retryAfterMs = RETRY_AFTER_MS))
+        if (job.key == null) {
+            progress.mayHaveRun = true
+            return invoke.invoke(request(job, number, member, claim = null), member).mapLeft { it.asRepeatable() }
+        }
+        return attemptClaimed(job, job.key, number, member, progress)
+    }
+
+    private suspend fun attemptClaimed(
+        job: ServiceJob,
+        key: IdempotencyKey,
+        number: Int,
+        member: FleetMember,
+        progress: Progress,
+    ): Either<AttemptEnd, Outcome> {
+        val incarnation =
+            incarnations
+                .incarnationOf(member.address)
+                .fold({ return invoke.unreachable(member, it.message) }, { it })
+        val decision = claims.claim(ClaimRequest(key, job.requestId, member.endpoint, incarnation, number, job.deadlineMs()))
+        return when (decision) {
+            is ClaimDecision.NotClaimed -> notRun(decision.refusal)
+            is ClaimDecision.Undecidable -> Outcome.Unknown(decision.reason, decision.detail).right()
+            is ClaimDecision.HeldBy -> settle(job, decision.claim, decision.endpoint, progress)
+            is ClaimDecision.Won -> dispatch(job, number, member, decision.claim, progress)
+        }
+    }
+
+    private suspend fun dispatch(
+        job: ServiceJob,
+        number: Int,
+        member: FleetMember,
+        claim: ClaimRef,
+        progress: Progress,
+    ): Either<AttemptEnd, Outcome> {
+        progress.mayHaveRun = true
+        val end = invoke.invoke(request(job, number, member, claim), member).fold({ it }, { return it.right() })
+        if (end is InvokeEnd.NotDispatched) {
+            incarnations.forget(member.address)
+            val voided = claims.abandon(claim)
+            progress.mayHaveRun = !voided
+            if (voided) return end.asRepeatable().left()
+            return Outcome.Unknown(UnknownReason.CLAIM_UNSETTLED, "the claim could not be voided").right()
+        }
+        return settle(job, claim, member.endpoint, progress)
+    }
+
+    private suspend fun settle(
+        job: ServiceJob,
+        claim: ClaimRef,
+        endpoint: EndpointId,
+        progress: Progress,
+    ): Either<AttemptEnd, Outcome> {
+        progress.mayHaveRun = true
+        val address = fleet.addressOf(endpoint)
+        if (address == null) {
+            return Outcome.Unknown(UnknownReason.SIDECAR_LOST, "the sidecar of ${endpoint.value} is gone").right()
+        }
+        // The stage only ends without an outcome once the claim is void, so nothing ran under it.
+        return settle.settle(address, endpoint, claim, job).onLeft { progress.mayHaveRun = false }
+    }
+
+    private fun request(
+        job: ServiceJob,
+        number: Int,
+        member: FleetMember,
+        claim: ClaimRef?,
+    ) = Invoke(
+        requestId = job.requestId,
+        attempt = number,
+        endpoint = member.endpoint,
+        organisation = job.organisation,
+        service = job.service,
+        operation = job.operation,
+        rank = job.rank,
+        body = job.body,
+        deadlineMs = job.deadlineMs(),
+        claim = claim,
+    )
+
+    private fun InvokeEnd.asRepeatable(): AttemptEnd =
+        when (this) {
+            is InvokeEnd.NotDispatched -> AttemptEnd.retryRefused(RetryReason.REFUSED_BY_SIDECAR, refusal)
+            is InvokeEnd.MaybeDispatched -> AttemptEnd.retryFailed(RetryReason.SERVICE_UNREACHABLE, reason, detail)
+        }
+
+    private fun notRun(refusal: Refusal) = AttemptEnd.Final(Outcome.NotRun(refusal)).left()
+
+    private fun timedOut(
+        job: ServiceJob,
+        progress: Progress,
+    ): Outcome {
+        if (!progress.mayHaveRun) return Outcome.NotRun(Refusal(RefusalReason.DEADLINE))
+        if (job.key == null) return Outcome.Failed(FailureReason.DEADLINE, "no answer before the deadline")
+        return Outcome.Unknown(UnknownReason.DEADLINE, "no answer before the deadline")
+    }
+
+    private companion object {
+        const val RETRY_AFTER_MS = 2_000L
+    }
+}
