--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/EngineLoad.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/EngineLoad.kt
@@ -1,6 +1,9 @@
 package io.knapweedferry.platform.engine
 
+import kotlinx.serialization.Serializable
+
 /** Load that an engine reports, with a lag. */
+@Serializable
 public data class EngineLoad(
     val slots: Int,
     val usedSlots: Int,
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/EngineOrder.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/EngineOrder.kt
@@ -1,6 +1,9 @@
 package io.knapweedferry.platform.engine
 
+import kotlinx.serialization.Serializable
+
 /** Order to load a model version, an adapter or to change role. */
+@Serializable
 public data class EngineOrder(
     val model: String,
     val version: String,
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/GenerateOrder.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/GenerateOrder.kt
@@ -1,6 +1,9 @@
 package io.knapweedferry.platform.engine
 
+import kotlinx.serialization.Serializable
+
 /** Order to generate tokens for a prompt whose cache was imported under the same id, or from the prompt itself. */
+@Serializable
 public data class GenerateOrder(
     val id: EngineRequestId,
     val model: String,
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpEngine.kt
@@ -0,0 +1,66 @@
+package io.knapweedferry.platform.engine
+
+import arrow.core.Either
+import io.knapweedferry.api.KvHandle
+import io.knapweedferry.api.KvSource
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.platform.http.HttpEndpoint
+import io.knapweedferry.platform.http.HttpTransport
+import kotlinx.coroutines.flow.Flow
+import kotlinx.serialization.builtins.ListSerializer
+import okhttp3.RequestBody
+
+/** [Engine] over JSON, with the answer of `POST /generate` as newline-delimited JSON. */
+public class HttpEngine(
+    transport: HttpTransport,
+    baseUrl: String,
+    private val timeoutMs: Long = DEFAULT_TIMEOUT_MS,
+) : Engine {
+    private val http = HttpEndpoint(transport.pooled, baseUrl)
+    private val generation = HttpGeneration(transport.streaming, http.url("generate"))
+
+    override suspend fun prefill(order: PrefillOrder): Either<PlatformError, PrefillResult> {
+        val body = HttpEndpoint.json(PrefillOrder.serializer(), order)
+        return http.post(http.url("prefill"), order.timeoutMs, body, PrefillResult.serializer())
+    }
+
+    override suspend fun importKv(
+        id: EngineRequestId,
+        source: KvSource,
+        timeoutMs: Long,
+    ): Either<PlatformError, Unit> {
+        val request = ImportRequest(id, source, timeoutMs)
+        return command("import", timeoutMs, HttpEndpoint.json(ImportRequest.serializer(), request))
+    }
+
+    override fun generate(order: GenerateOrder): Flow<EngineEvent> = generation.run(order)
+
+    override suspend fun cancel(id: EngineRequestId): Either<PlatformError, Unit> =
+        command("cancel", timeoutMs, HttpEndpoint.json(CancelRequest.serializer(), CancelRequest(id)))
+
+    override suspend fun releaseKv(handle: KvHandle): Either<PlatformError, Unit> =
+        command("release", timeoutMs, HttpEndpoint.json(ReleaseRequest.serializer(), ReleaseRequest(handle)))
+
+    override suspend fun held(): Either<PlatformError, List<EngineRequestId>> =
+        http.get(http.url("held"), timeoutMs, ListSerializer(EngineRequestId.serializer()))
+
+    override suspend fun load(): Either<PlatformError, EngineLoad> = http.get(http.url("load"), timeoutMs, EngineLoad.serializer())
+
+    override suspend fun cacheEvents(afterSequence: Long): Either<PlatformError, List<CacheEvent>> {
+        val url = http.url("cache-events", query = mapOf("after" to "$afterSequence"))
+        return http.get(url, timeoutMs, ListSerializer(CacheEvent.serializer()))
+    }
+
+    override suspend fun order(order: EngineOrder): Either<PlatformError, Unit> =
+        command("orders", timeoutMs, HttpEndpoint.json(EngineOrder.serializer(), order))
+
+    private suspend fun command(
+        path: String,
+        timeoutMs: Long,
+        body: RequestBody,
+    ): Either<PlatformError, Unit> = http.post(http.url(path), timeoutMs, body).map { }
+
+    private companion object {
+        const val DEFAULT_TIMEOUT_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpGeneration.kt
@@ -0,0 +1,108 @@
+package io.knapweedferry.platform.engine
+
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.platform.http.HttpEndpoint
+import io.knapweedferry.platform.http.HttpFailures
+import io.knapweedferry.platform.http.HttpReply
+import io.knapweedferry.platform.http.SentMark
+import io.knapweedferry.platform.http.WireJson
+import kotlinx.coroutines.channels.ProducerScope
+import kotlinx.coroutines.channels.awaitClose
+import kotlinx.coroutines.channels.trySendBlocking
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.callbackFlow
+import kotlinx.serialization.SerializationException
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.HttpUrl
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.Response
+import okio.BufferedSource
+import java.io.IOException
+
+/** Reads the stream of one generation; a slow collector slows the engine down through TCP flow control. */
+internal class HttpGeneration(
+    private val client: OkHttpClient,
+    private val url: HttpUrl,
+) {
+    fun run(order: GenerateOrder): Flow<EngineEvent> =
+        callbackFlow {
+            val mark = SentMark()
+            val body = HttpEndpoint.json(GenerateOrder.serializer(), order)
+            val call =
+                client.newCall(
+                    Request
+                        .Builder()
+                        .url(url)
+                        .post(body)
+                        .tag(SentMark::class.java, mark)
+                        .build(),
+                )
+            call.enqueue(EventCallback(this, mark))
+            awaitClose { call.cancel() }
+        }
+
+    private class EventCallback(
+        private val events: ProducerScope<EngineEvent>,
+        private val mark: SentMark,
+    ) : Callback {
+        override fun onFailure(
+            call: Call,
+            e: IOException,
+        ) = end(EngineEvent.Broken(HttpFailures.ofException(e, mark)))
+
+        override fun onResponse(
+            call: Call,
+            response: Response,
+        ) = end(
+            try {
+                response.use(::read)
+            } catch (e: IOException) {
+                EngineEvent.Broken(HttpFailures.ofException(e, mark))
+            } catch (e: SerializationException) {
+                EngineEvent.Broken(HttpFailures.badAnswer(e))
+            },
+        )
+
+        private fun read(response: Response): EngineEvent {
+            if (!response.isSuccessful) {
+                val error = HttpFailures.ofStatus(HttpReply(response.code, "", response.peekBody(MAX_LINE_BYTES).string()))
+                return EngineEvent.Broken(error)
+            }
+            val source = response.body.source()
+            while (true) {
+                val line = nextLine(source) ?: return EngineEvent.Broken(CUT_SHORT)
+                val event = toEvent(WireJson.decodeFromString(GenerateLine.serializer(), line))
+                if (event !is EngineEvent.Token) return event
+                if (events.trySendBlocking(event).isFailure) return EngineEvent.Broken(CUT_SHORT)
+            }
+        }
+
+        private fun nextLine(source: BufferedSource): String? {
+            while (!source.exhausted()) {
+                val line = source.readUtf8LineStrict(MAX_LINE_BYTES)
+                if (line.isNotBlank()) return line
+            }
+            return null
+        }
+
+        private fun toEvent(line: GenerateLine): EngineEvent =
+            when (line) {
+                is GenerateLine.Token -> EngineEvent.Token(line.position, line.text)
+                is GenerateLine.Finished -> EngineEvent.Finished(line.tokenCount, line.finishReason)
+                is GenerateLine.Failed ->
+                    EngineEvent.Broken(PlatformError.NoAnswer("engine gave up (${line.code}: ${line.message}); resume elsewhere"))
+            }
+
+        private fun end(last: EngineEvent) {
+            events.trySendBlocking(last)
+            events.close()
+        }
+    }
+
+    private companion object {
+        const val MAX_LINE_BYTES = 1L * 1024 * 1024
+        val CUT_SHORT = PlatformError.NoAnswer("stream ended before the answer was whole; resume from the next position")
+    }
+}
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpEndpoint.kt
@@ -0,0 +1,149 @@
+package io.knapweedferry.platform.http
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.platform.PlatformError
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.HttpUrl
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import java.io.InterruptedIOException
+import java.util.concurrent.TimeUnit
+import kotlin.coroutines.resume
+
+/** Sends single requests to one base URL and maps every failure to [PlatformError]. */
+internal class HttpEndpoint(
+    private val client: OkHttpClient,
+    baseUrl: String,
+) {
+    private val base: HttpUrl = baseUrl.toHttpUrl()
+
+    fun url(
+        vararg segments: String,
+        query: Map<String, String> = emptyMap(),
+    ): HttpUrl {
+        val builder = base.newBuilder()
+        segments.forEach(builder::addPathSegment)
+        query.forEach(builder::addQueryParameter)
+        return builder.build()
+    }
+
+    suspend fun <T> get(
+        url: HttpUrl,
+        timeoutMs: Long,
+        serializer: KSerializer<T>,
+    ): Either<PlatformError, T> = exchange(Request.Builder().url(url).build(), timeoutMs).flatMap { decode(it, serializer) }
+
+    suspend fun <T> post(
+        url: HttpUrl,
+        timeoutMs: Long,
+        body: RequestBody,
+        serializer: KSerializer<T>,
+    ): Either<PlatformError, T> = post(url, timeoutMs, body).flatMap { decode(it, serializer) }
+
+    suspend fun post(
+        url: HttpUrl,
+        timeoutMs: Long,
+        body: RequestBody,
+    ): Either<PlatformError, HttpReply> =
+        exchange(
+            Request
+                .Builder()
+                .url(url)
+                .post(body)
+                .build(),
+            timeoutMs,
+        ).flatMap(::successful)
+
+    /** Returns the reply of any status; the caller decides what the status means. */
+    suspend fun exchange(
+        request: Request,
+        timeoutMs: Long,
+    ): Either<PlatformError, HttpReply> {
+        // OkHttp takes a timeout of zero as none.
+        if (timeoutMs <= 0) return PlatformError.NotSent("no time left before sending; allow a longer timeout").left()
+        val mark = SentMark()
+        val call = client.newCall(request.newBuilder().tag(SentMark::class.java, mark).build())
+        call.timeout().timeout(timeoutMs, TimeUnit.MILLISECONDS)
+        return suspendCancellableCoroutine { continuation ->
+            continuation.invokeOnCancellation { call.cancel() }
+            call.enqueue(
+                object : Callback {
+                    override fun onFailure(
+                        call: Call,
+                        e: IOException,
+                    ) = continuation.resume(failed(e, mark).left())
+
+                    override fun onResponse(
+                        call: Call,
+                        response: Response,
+                    ) = continuation.resume(response.use { readReply(it, mark) })
+                },
+            )
+        }
+    }
+
+    private fun readReply(
+        response: Response,
+        mark: SentMark,
+    ): Either<PlatformError, HttpReply> =
+        try {
+            val source = response.body.source()
+            if (source.request(MAX_BODY_BYTES + 1)) {
+                PlatformError.BadAnswer("answer exceeds $MAX_BODY_BYTES bytes; ask for less at once").left()
+            } else {
+                val contentType = response.header("Content-Type") ?: "application/octet-stream"
+                HttpReply(response.code, contentType, response.body.string()).right()
+            }
+        } catch (e: IOException) {
+            failed(e, mark).left()
+        }
+
+    private fun failed(
+        error: IOException,
+        mark: SentMark,
+    ): PlatformError {
+        // A timeout on a kept connection suggests that the path lost its state; its idle siblings would time out as well.
+        if (error is InterruptedIOException) client.connectionPool.evictAll()
+        return HttpFailures.ofException(error, mark)
+    }
+
+    companion object {
+        private const val MAX_BODY_BYTES = 16L * 1024 * 1024
+        private val JSON_TYPE = "application/json".toMediaType()
+
+        fun <T> json(
+            serializer: KSerializer<T>,
+            value: T,
+        ): RequestBody = WireJson.encodeToString(serializer, value).toRequestBody(JSON_TYPE)
+
+        private fun successful(reply: HttpReply): Either<PlatformError, HttpReply> =
+            if (reply.status / STATUS_CLASS == 2) reply.right() else HttpFailures.ofStatus(reply).left()
+
+        private fun <T> decode(
+            reply: HttpReply,
+            serializer: KSerializer<T>,
+        ): Either<PlatformError, T> =
+            successful(reply).flatMap {
+                try {
+                    WireJson.decodeFromString(serializer, it.body).right()
+                } catch (e: SerializationException) {
+                    HttpFailures.badAnswer(e).left()
+                }
+            }
+
+        private const val STATUS_CLASS = 100
+    }
+}
--- /dev/null
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/AppendReply.kt
@@ -0,0 +1,9 @@
+package io.knapweedferry.platform.log
+
+import kotlinx.serialization.Serializable
+
+/** Answer to an [AppendRequest]. */
+@Serializable
+public data class AppendReply(
+    val firstOffset: Long,
+)
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/LogPage.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/LogPage.kt
@@ -1,6 +1,9 @@
 package io.knapweedferry.platform.log
 
+import kotlinx.serialization.Serializable
+
 /** Result of one read of a stream. */
+@Serializable
 public data class LogPage(
     /** Oldest offset that the log still keeps. */
     val firstOffset: Long,
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/LogRecord.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/LogRecord.kt
@@ -1,6 +1,9 @@
 package io.knapweedferry.platform.log
 
+import kotlinx.serialization.Serializable
+
 /** One record of a stream. */
+@Serializable
 public data class LogRecord(
     val offset: Long,
     /** Time of the append on the clock of the log. */
