Read typed settings from TOML and report all faults of a file at once

Both daemons need settings whose faults name file, key and remedy. ktoml's own decoder stops at the first fault, so the file is parsed to a tree, checked against the descriptors of the settings classes and then decoded.

--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/InRange.kt
@@ -0,0 +1,13 @@
+package io.knapweedferry.config.settings
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialInfo
+
+/** Inclusive range of a whole number in a settings file. */
+@OptIn(ExperimentalSerializationApi::class)
+@SerialInfo
+@Target(AnnotationTarget.PROPERTY)
+public annotation class InRange(
+    val min: Long,
+    val max: Long,
+)
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/OperatorSettings.kt
@@ -0,0 +1,16 @@
+package io.knapweedferry.config.settings
+
+import io.knapweedferry.api.OperatorName
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** One `[[operator]]`: a person who may change the configuration. */
+@Serializable
+public data class OperatorSettings(
+    @TextRule(TextForm.NAME)
+    val name: OperatorName,
+    @Secret
+    @TextRule(TextForm.SHA256)
+    @SerialName("token_sha256")
+    val tokenSha256: String,
+)
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/ProcessSettings.kt
@@ -0,0 +1,16 @@
+package io.knapweedferry.config.settings
+
+import io.knapweedferry.api.AvailabilityZone
+import io.knapweedferry.api.ProcessId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Section `[process]` of an entry: who the process is. */
+@Serializable
+public data class ProcessSettings(
+    @TextRule(TextForm.NAME)
+    val id: ProcessId,
+    @TextRule(TextForm.NAME)
+    @SerialName("availability_zone")
+    val availabilityZone: AvailabilityZone,
+)
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/Secret.kt
@@ -0,0 +1,10 @@
+package io.knapweedferry.config.settings
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialInfo
+
+/** Marks a setting whose value is never printed. */
+@OptIn(ExperimentalSerializationApi::class)
+@SerialInfo
+@Target(AnnotationTarget.PROPERTY)
+public annotation class Secret
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SidecarHttpSettings.kt
@@ -0,0 +1,10 @@
+package io.knapweedferry.config.settings
+
+import kotlinx.serialization.Serializable
+
+/** Section `[http]` of a sidecar; without an address the sidecar starts no HTTP server. */
+@Serializable
+public data class SidecarHttpSettings(
+    @TextRule(TextForm.IP_PORT)
+    val address: String? = null,
+)
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SidecarProcessSettings.kt
@@ -0,0 +1,19 @@
+package io.knapweedferry.config.settings
+
+import io.knapweedferry.api.AvailabilityZone
+import io.knapweedferry.api.InstanceId
+import io.knapweedferry.api.ProcessId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Section `[process]` of a sidecar: who the process is and which instance it runs on. */
+@Serializable
+public data class SidecarProcessSettings(
+    @TextRule(TextForm.NAME)
+    val id: ProcessId,
+    @TextRule(TextForm.NAME)
+    @SerialName("availability_zone")
+    val availabilityZone: AvailabilityZone,
+    @TextRule(TextForm.NAME)
+    val instance: InstanceId,
+)
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/TomlTree.kt
@@ -0,0 +1,67 @@
+package io.knapweedferry.config.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.akuleshov7.ktoml.TomlInputConfig
+import com.akuleshov7.ktoml.exceptions.TomlDecodingException
+import com.akuleshov7.ktoml.parsers.TomlParser
+import com.akuleshov7.ktoml.tree.nodes.TableType
+import com.akuleshov7.ktoml.tree.nodes.TomlArrayOfTablesElement
+import com.akuleshov7.ktoml.tree.nodes.TomlKeyValueArray
+import com.akuleshov7.ktoml.tree.nodes.TomlKeyValuePrimitive
+import com.akuleshov7.ktoml.tree.nodes.TomlNode
+import com.akuleshov7.ktoml.tree.nodes.TomlTable
+import com.akuleshov7.ktoml.tree.nodes.pairs.values.TomlNull
+import com.akuleshov7.ktoml.tree.nodes.pairs.values.TomlValue
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/**
+ * Turns TOML text into a JSON tree. The check of a settings file then sees every key at once and can report all faults
+ * together, whereas ktoml's decoder stops at the first; and maps with typed keys decode, which ktoml does not support.
+ */
+public object TomlTree {
+    private val config = TomlInputConfig(allowEmptyToml = true, allowNullValues = false)
+
+    /** Parses [text]; the left side says what is wrong with it. */
+    public fun parse(text: String): Either<String, JsonObject> =
+        try {
+            tableOf(TomlParser(config).parseString(text)).right()
+        } catch (fault: TomlDecodingException) {
+            (fault.message ?: "is not valid TOML").left()
+        }
+
+    private fun tableOf(node: TomlNode): JsonObject {
+        val entries = LinkedHashMap<String, JsonElement>()
+        for (child in node.children) {
+            val value =
+                when (child) {
+                    is TomlTable -> if (child.type == TableType.ARRAY) arrayOf(child) else tableOf(child)
+                    is TomlKeyValuePrimitive -> valueOf(child.value)
+                    is TomlKeyValueArray -> valueOf(child.value)
+                    else -> continue
+                }
+            entries[nameOf(child)] = value
+        }
+        return JsonObject(entries)
+    }
+
+    private fun arrayOf(table: TomlTable): JsonArray =
+        JsonArray(table.children.filterIsInstance<TomlArrayOfTablesElement>().map { tableOf(it) })
+
+    private fun nameOf(node: TomlNode): String = node.name.trim('"', '\'')
+
+    private fun valueOf(content: Any?): JsonElement =
+        when (content) {
+            null, is TomlNull -> JsonNull
+            is TomlValue -> valueOf(content.content)
+            is List<*> -> JsonArray(content.map { valueOf(it) })
+            is Number -> JsonPrimitive(content)
+            is Boolean -> JsonPrimitive(content)
+            else -> JsonPrimitive(content.toString())
+        }
+}
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/TreeCheck.kt
@@ -0,0 +1,165 @@
+package io.knapweedferry.config.settings
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.SerialKind
+import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.doubleOrNull
+import kotlinx.serialization.json.longOrNull
+
+/** Compares a parsed file with the descriptor of the class that it is meant for and collects every fault. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class TreeCheck(
+    private val file: String,
+) {
+    private val found = mutableListOf<SettingsProblem>()
+
+    /** Returns the faults of [tree] in the order of the file. */
+    fun problems(
+        tree: JsonObject,
+        descriptor: SerialDescriptor,
+    ): List<SettingsProblem> {
+        checkObject(tree, descriptor, "")
+        return found
+    }
+
+    private fun checkObject(
+        tree: JsonObject,
+        descriptor: SerialDescriptor,
+        path: String,
+    ) {
+        val known = descriptor.elementNames.toList()
+        for ((name, value) in tree) {
+            val index = known.indexOf(name)
+            if (index < 0) {
+                report(join(path, name), "is not a known setting", "remove it or use one of: ${known.sorted().joinToString()}")
+                continue
+            }
+            checkValue(value, descriptor.getElementDescriptor(index), descriptor.getElementAnnotations(index), join(path, name))
+        }
+        for ((index, name) in known.withIndex()) {
+            if (name in tree || descriptor.isElementOptional(index)) continue
+            report(join(path, name), "is missing", "set it to ${expected(descriptor, index)}")
+        }
+    }
+
+    private fun checkValue(
+        value: JsonElement,
+        declared: SerialDescriptor,
+        rules: List<Annotation>,
+        path: String,
+    ) {
+        val descriptor = unwrap(declared)
+        when (descriptor.kind) {
+            StructureKind.CLASS -> {
+                if (value !is JsonObject) return report(path, "is not a table", "write it as the section [$path]")
+                checkObject(value, descriptor, path)
+            }
+
+            StructureKind.LIST -> checkList(value, descriptor, rules, path)
+
+            StructureKind.MAP -> {
+                if (value !is JsonObject) return report(path, "is not a table", "write it as the section [$path]")
+                val element = descriptor.getElementDescriptor(1)
+                for ((name, item) in value) checkValue(item, element, rules, join(path, name))
+            }
+
+            else -> checkScalar(value, descriptor, rules, path)
+        }
+    }
+
+    private fun checkList(
+        value: JsonElement,
+        descriptor: SerialDescriptor,
+        rules: List<Annotation>,
+        path: String,
+    ) {
+        val element = descriptor.getElementDescriptor(0)
+        if (value !is JsonArray) {
+            val remedy = if (unwrap(element).kind == StructureKind.CLASS) "write it as [[$path]]" else "write it as [ ... ]"
+            return report(path, "is not a list", remedy)
+        }
+        value.forEachIndexed { index, item -> checkValue(item, element, rules, "$path[$index]") }
+    }
+
+    private fun checkScalar(
+        value: JsonElement,
+        descriptor: SerialDescriptor,
+        rules: List<Annotation>,
+        path: String,
+    ) {
+        if (value !is JsonPrimitive || value is JsonNull || !hasType(value, descriptor)) {
+            return report(path, "has the wrong type", "set it to ${typeName(descriptor)}")
+        }
+        for (rule in rules) {
+            if (rule is InRange && value.longOrNull?.let { it in rule.min..rule.max } != true) {
+                report(path, "is ${value.content}, which is out of range", "set it to a value from ${rule.min} to ${rule.max}")
+            }
+            if (rule is TextRule && !rule.form.accepts(value.content)) {
+                report(path, "is not valid", "set it to ${rule.form.remedy}")
+            }
+        }
+    }
+
+    private fun hasType(
+        value: JsonPrimitive,
+        descriptor: SerialDescriptor,
+    ): Boolean =
+        when (descriptor.kind) {
+            PrimitiveKind.STRING -> value.isString
+            PrimitiveKind.BOOLEAN -> !value.isString && value.content in BOOLEANS
+            PrimitiveKind.INT -> !value.isString && value.longOrNull?.let { it in Int.MIN_VALUE..Int.MAX_VALUE } == true
+            PrimitiveKind.LONG -> !value.isString && value.longOrNull != null
+            PrimitiveKind.DOUBLE -> !value.isString && value.doubleOrNull != null
+            SerialKind.ENUM -> value.isString && value.content in descriptor.elementNames
+            else -> false
+        }
+
+    private fun expected(
+        descriptor: SerialDescriptor,
+        index: Int,
+    ): String {
+        val form = descriptor.getElementAnnotations(index).filterIsInstance<TextRule>().firstOrNull()
+        return form?.form?.remedy ?: typeName(unwrap(descriptor.getElementDescriptor(index)))
+    }
+
+    private fun report(
+        path: String,
+        detail: String,
+        remedy: String,
+    ) {
+        found += SettingsProblem(file, path, detail, remedy)
+    }
+
+    internal companion object {
+        private val BOOLEANS = setOf("true", "false")
+
+        /** Descriptor of the value inside a value class or a nullable type. */
+        fun unwrap(descriptor: SerialDescriptor): SerialDescriptor =
+            if (descriptor.isInline) unwrap(descriptor.getElementDescriptor(0)) else descriptor
+
+        /** Type as the messages and the settings page name it. */
+        fun typeName(descriptor: SerialDescriptor): String =
+            when (descriptor.kind) {
+                PrimitiveKind.STRING -> "a text in quotes"
+                PrimitiveKind.BOOLEAN -> "true or false"
+                PrimitiveKind.INT, PrimitiveKind.LONG -> "a whole number"
+                PrimitiveKind.DOUBLE -> "a number"
+                SerialKind.ENUM -> "one of: ${descriptor.elementNames.joinToString { "\"$it\"" }}"
+                StructureKind.LIST -> "a list"
+                else -> "a table"
+            }
+
+        private fun join(
+            path: String,
+            name: String,
+        ): String = if (path.isEmpty()) name else "$path.$name"
+    }
+}
