--- /dev/null
+++ b/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/OperationsPageSpec.kt
@@ -0,0 +1,49 @@
+package io.knapweedferry.telemetry
+
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.Incarnation
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.RetryReason
+import io.knapweedferry.api.UnknownReason
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** Guards against a runbook that sends operators to events, metrics or exit codes that do not exist. */
+internal class OperationsPageSpec {
+    private val page = Path.of("..", "docs", "operations.md").readText()
+
+    @Test
+    fun `each event that the page names exists`() {
+        val named = Regex("KF-\\d+").findAll(page).map { it.value }.toSet()
+        assertEquals(emptySet<String>(), named - LogEvent.entries.map { it.id }.toSet())
+    }
+
+    @Test
+    fun `each series that the page names exists`() {
+        val metrics = RouterMetrics()
+        AuditTrail(FakeLog(), ProcessId("entry-1"), Incarnation("i-1"), AuditSettings(), metrics, EventLog())
+        val scraped = metrics.scrape()
+        val named = Regex("knapweedferry_[a-z_]+").findAll(page).map { it.value }.toSet()
+        assertEquals(emptyList<String>(), named.filterNot { scraped.contains("\n$it{") || scraped.contains("\n$it ") })
+    }
+
+    @Test
+    fun `each reason that the page names exists`() {
+        val known =
+            RefusalReason.entries.map { it.code } + RetryReason.entries.map { it.code } +
+                FailureReason.entries.map { it.code } + UnknownReason.entries.map { it.code }
+        val named = Regex("reason=\"([a-z_]+)\"").findAll(page).map { it.groupValues[1] }.toSet()
+        assertTrue(named.isNotEmpty())
+        assertEquals(emptySet<String>(), named - known.toSet())
+    }
+
+    @Test
+    fun `the table of exit codes agrees with the enum`() {
+        val rows = ExitCode.entries.map { "| ${it.code} | ${it.meaning} |" }
+        assertEquals(rows, page.lines().filter { Regex("\\| \\d+ \\|.*").matches(it) })
+    }
+}
