Bound log lines per event and let explanations start at a time

A flood of refusals would write one line each, and the newest 5,000 batches cover only seconds of the largest deployment. EventLog writes at most 50 lines of one event a second and counts the rest; AuditReader finds its start by binary search over the log's times.

--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/AuditReader.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/AuditReader.kt
@@ -5,22 +5,28 @@
 import io.knapweedferry.api.RequestId
 import io.knapweedferry.platform.PlatformError
 import io.knapweedferry.platform.log.AppendLog
+import io.knapweedferry.platform.log.LogPage
 import io.knapweedferry.platform.log.LogRecord
 
 /** Finds the audit records of a request by reading the stream `audit` from the newest batch back. */
 public class AuditReader(
     private val log: AppendLog,
 ) {
-    /** Reads at most [maxBatches] of the newest batches. All are read, because several processes may know the request. */
+    /**
+     * Reads at most [maxBatches] batches, from the newest back, or from the last one that was appended by [untilMs] on the
+     * clock of the log. All of them are read, because several processes may know the request. Choose [untilMs] some minutes
+     * after the request, because batches and reports of drops follow later.
+     */
     public suspend fun find(
         requestId: RequestId,
         maxBatches: Int = DEFAULT_MAX_BATCHES,
+        untilMs: Long? = null,
     ): Either<PlatformError, AuditFindings> =
         either {
             val bounds = log.read(AuditTrail.STREAM, 0, 1).bind()
-            val oldest = maxOf(bounds.firstOffset, bounds.nextOffset - maxBatches)
+            var end = if (untilMs == null) bounds.nextOffset else endAt(untilMs, bounds).bind()
+            val oldest = maxOf(bounds.firstOffset, end - maxBatches)
             val scan = AuditScan(requestId)
-            var end = bounds.nextOffset
             while (end > oldest) {
                 val start = maxOf(oldest, end - WINDOW_BATCHES)
                 readWindow(start, end).bind().asReversed().forEach { scan.add(it) }
@@ -29,6 +35,27 @@
             scan.findings(reachedOldest = oldest == bounds.firstOffset)
         }
 
+    /** First offset that was appended after [untilMs], by binary search. */
+    private suspend fun endAt(
+        untilMs: Long,
+        bounds: LogPage,
+    ): Either<PlatformError, Long> =
+        either {
+            var low = bounds.firstOffset
+            var high = bounds.nextOffset
+            while (low < high) {
+                val middle = low + (high - low) / 2
+                val record =
+                    log
+                        .read(AuditTrail.STREAM, middle, 1)
+                        .bind()
+                        .records
+                        .firstOrNull()
+                if (record != null && record.atMs > untilMs) high = middle else low = middle + 1
+            }
+            low
+        }
+
     /** Records from [start] up to [end]; the log may answer with less per read, or no longer keep some. */
     private suspend fun readWindow(
         start: Long,
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/EventLog.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/EventLog.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import kotlin.time.TimeSource
 
 /**
  * Writes one line per [LogEvent]. Values are cut to a bounded length, line breaks in them are escaped and secrets are
@@ -13,13 +14,24 @@
     private val sink: EventSink = TinylogSink,
     /** Fields that every line carries, for example the process id. */
     private val common: List<Pair<String, String>> = emptyList(),
+    linesPerSecond: Int = DEFAULT_LINES_PER_SECOND,
+    timeSource: TimeSource = TimeSource.Monotonic,
 ) {
-    /** Writes [event] with [fields] as key and value; a null value is left out. */
+    private val start = timeSource.markNow()
+    private val rates = LogEvent.entries.map { LineRate(linesPerSecond) }
+
+    /**
+     * Writes [event] with [fields] as key and value; a null value is left out. Lines of one event beyond the limit per second
+     * are left out, and the next line says how many.
+     */
     public fun write(
         event: LogEvent,
         vararg fields: Pair<String, Any?>,
     ) {
-        val shown = (common + fields).mapNotNull { (key, value) -> value?.let { key to FieldMask.show(key, it) } }
+        if (!sink.accepts(event.level)) return
+        val suppressed = rates[event.ordinal].admit(start.elapsedNow().inWholeSeconds) ?: return
+        val note = "suppressed_lines" to suppressed.takeIf { it > 0 }
+        val shown = (common + fields + note).mapNotNull { (key, value) -> value?.let { key to FieldMask.show(key, it) } }
         sink.write(event.level, if (format == EventFormat.JSON) jsonLine(event, shown) else textLine(event, shown))
     }
 
@@ -44,7 +56,9 @@
             fields.filter { it.first !in RESERVED_KEYS }.forEach { (key, value) -> put(key, JsonPrimitive(value)) }
         }.toString()
 
-    private companion object {
-        val RESERVED_KEYS = setOf("event", "level", "message")
+    public companion object {
+        /** Lines of one event in a second; more tell an operator nothing new. */
+        public const val DEFAULT_LINES_PER_SECOND: Int = 50
+        private val RESERVED_KEYS = setOf("event", "level", "message")
     }
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/EventSink.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/EventSink.kt
@@ -7,4 +7,7 @@
         level: EventLevel,
         line: String,
     )
+
+    /** False if lines of [level] would be discarded anyway, so that they need not be built. */
+    public fun accepts(level: EventLevel): Boolean = true
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/TinylogSink.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/TinylogSink.kt
@@ -14,4 +14,12 @@
         EventLevel.WARN -> Logger.warn { line }
         EventLevel.ERROR -> Logger.error { line }
     }
+
+    override fun accepts(level: EventLevel): Boolean =
+        when (level) {
+            EventLevel.DEBUG -> Logger.isDebugEnabled()
+            EventLevel.INFO -> Logger.isInfoEnabled()
+            EventLevel.WARN -> Logger.isWarnEnabled()
+            EventLevel.ERROR -> Logger.isErrorEnabled()
+        }
 }
--- a/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/AuditReaderSpec.kt
+++ b/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/AuditReaderSpec.kt
@@ -30,6 +30,17 @@
             assertEquals(51, log.readRecords)
         }
 
+    @Test
+    fun `a scan with an end time skips what was appended later`() =
+        runTest {
+            batch("b-1")
+            repeat(50) { batch("other-$it", id = "r-2") }
+            val cases = listOf(-1L to 0, 0L to 1, 30L to 20, 50L to 20, 90L to 20)
+            cases.forEach { (untilMs, scanned) -> assertEquals(scanned, find(maxBatches = 20, untilMs = untilMs).scannedBatches) }
+            assertEquals(1, find(maxBatches = 20, untilMs = 19).records.size)
+            assertEquals(0, find(maxBatches = 20, untilMs = 20).records.size)
+        }
+
     @Test
     fun `drops matter only around the time of the request, and always if nothing was found`() =
         runTest {
@@ -63,7 +74,8 @@
     private suspend fun find(
         id: String = "r-1",
         maxBatches: Int = AuditReader.DEFAULT_MAX_BATCHES,
-    ) = AuditReader(log).find(RequestId(id), maxBatches).fold({ error(it.message) }, { it })
+        untilMs: Long? = null,
+    ) = AuditReader(log).find(RequestId(id), maxBatches, untilMs).fold({ error(it.message) }, { it })
 
     private fun batch(
         batchId: String,
@@ -74,6 +86,6 @@
     ) {
         val record = AuditRecord(RequestId(id), null, startedAtMs, 10, "completed", emptyList())
         val payload = AuditTrail.json.encodeToString(AuditBatch.serializer(), AuditBatch(batchId, process, loss, listOf(record)))
-        log.records += LogRecord(log.records.size.toLong(), 0, payload)
+        log.records += LogRecord(log.records.size.toLong(), log.records.size.toLong(), payload)
     }
 }
--- a/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/EventLogSpec.kt
+++ b/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/EventLogSpec.kt
@@ -1,8 +1,11 @@
 package io.knapweedferry.telemetry
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 /** Guards against forged log lines, leaked credentials and lines that a parser cannot split. */
 internal class EventLogSpec {
@@ -24,6 +27,19 @@
         assertEquals("""{"event":"KF-0301","level":"INFO","message":"session closed"$expected}""", write(EventFormat.JSON, field))
     }
 
+    @Test
+    fun `a flood of one event is bounded per second, counted, and leaves other events alone`() {
+        val time = TestTimeSource()
+        val lines = mutableListOf<String>()
+        val log = EventLog(sink = { _, line -> lines += line }, linesPerSecond = 2, timeSource = time)
+        repeat(10) { log.write(LogEvent.REQUEST_NOT_RUN) }
+        log.write(LogEvent.SESSION_CLOSED)
+        time += 1.seconds
+        repeat(2) { log.write(LogEvent.REQUEST_NOT_RUN) }
+        val refused = "KF-0402 request was not run"
+        assertEquals(listOf(refused, refused, "KF-0301 session closed", "$refused suppressed_lines=8", refused), lines)
+    }
+
     private fun write(
         format: EventFormat,
         field: Pair<String, Any?>,
