--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/EventLog.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/EventLog.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import java.time.InstantSource
 import kotlin.time.TimeSource
 
 /**
@@ -16,6 +17,8 @@
     private val common: List<Pair<String, String>> = emptyList(),
     linesPerSecond: Int = DEFAULT_LINES_PER_SECOND,
     timeSource: TimeSource = TimeSource.Monotonic,
+    /** Time in JSON lines; text lines leave it to tinylog. */
+    private val clock: InstantSource = InstantSource.system(),
 ) {
     private val start = timeSource.markNow()
     private val rates = LogEvent.entries.map { LineRate(linesPerSecond) }
@@ -49,6 +52,7 @@
         fields: List<Pair<String, String>>,
     ): String =
         buildJsonObject {
+            put("time", clock.instant().toString())
             put("event", event.id)
             put("level", event.level.name)
             put("message", event.message)
@@ -59,6 +63,6 @@
     public companion object {
         /** Lines of one event in a second; more tell an operator nothing new. */
         public const val DEFAULT_LINES_PER_SECOND: Int = 50
-        private val RESERVED_KEYS = setOf("event", "level", "message")
+        private val RESERVED_KEYS = setOf("time", "event", "level", "message")
     }
 }
--- a/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/EventLogSpec.kt
+++ b/knapweedferry-telemetry/src/test/kotlin/io/knapweedferry/telemetry/EventLogSpec.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import java.time.Instant
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
@@ -24,7 +25,10 @@
         field: Pair<String, Any?>,
         expected: String,
     ) {
-        assertEquals("""{"event":"KF-0301","level":"INFO","message":"session closed"$expected}""", write(EventFormat.JSON, field))
+        assertEquals(
+            """{"time":"1970-01-01T00:00:00Z","event":"KF-0301","level":"INFO","message":"session closed"$expected}""",
+            write(EventFormat.JSON, field),
+        )
     }
 
     @Test
@@ -45,7 +49,7 @@
         field: Pair<String, Any?>,
     ): String {
         val lines = mutableListOf<String>()
-        EventLog(format, { level, line -> lines += line.also { assertEquals(EventLevel.INFO, level) } })
+        EventLog(format, { level, line -> lines += line.also { assertEquals(EventLevel.INFO, level) } }, clock = { Instant.EPOCH })
             .write(LogEvent.SESSION_CLOSED, field)
         return lines.single()
     }
