--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
@@ -0,0 +1,65 @@
+package io.knapweedferry.entry
+
+import io.javalin.Javalin
+import io.javalin.http.Context
+import io.knapweedferry.config.settings.HttpSettings
+import io.knapweedferry.entry.http.ChatRoute
+import io.knapweedferry.entry.http.ModelsRoute
+import io.knapweedferry.entry.http.ServiceRoute
+import io.knapweedferry.entry.operator.OperatorRoutes
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+/** HTTP interface of an entry: callers, operators, health and metrics. */
+internal class EntryServer(
+    private val settings: HttpSettings,
+    private val chat: ChatRoute,
+    private val services: ServiceRoute,
+    private val models: ModelsRoute,
+    private val operator: OperatorRoutes,
+    private val isReady: () -> Boolean,
+    private val scrape: () -> String,
+) {
+    private val javalin = build()
+
+    fun start() {
+        javalin.start()
+    }
+
+    fun stop() {
+        javalin.stop()
+    }
+
+    private fun build(): Javalin =
+        Javalin.create { config ->
+            config.startup.showJavalinBanner = false
+            config.http.maxRequestSize = settings.maxBodyBytes
+            config.jetty.host = settings.address.substringBeforeLast(':')
+            config.jetty.port = settings.address.substringAfterLast(':').toInt()
+            // Each request keeps one thread until its answer is written; the extra threads serve operators and health.
+            config.jetty.threadPool = QueuedThreadPool(settings.maxInFlight + EXTRA_THREADS, MIN_THREADS)
+            config.jetty.modifyServer { server ->
+                server.connectors.filterIsInstance<ServerConnector>().forEach { it.idleTimeout = settings.writeTimeoutMs }
+            }
+            config.routes.post("/v1/chat/completions", chat)
+            config.routes.post("/v1/services/{service}/{operation}", services)
+            config.routes.get("/v1/models", models)
+            config.routes.get("/health/live") { it.result("live") }
+            config.routes.get("/health/ready", ::ready)
+            config.routes.get("/metrics") { it.contentType(METRICS_TYPE).result(scrape()) }
+            operator.register(config)
+        }
+
+    private fun ready(ctx: Context) {
+        val ready = isReady()
+        ctx.status(if (ready) STATUS_OK else STATUS_UNAVAILABLE).result(if (ready) "ready" else "not ready")
+    }
+
+    private companion object {
+        const val EXTRA_THREADS = 16
+        const val MIN_THREADS = 8
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+        const val METRICS_TYPE = "text/plain; version=0.0.4"
+    }
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
@@ -27,6 +27,13 @@
     fun addressOf(endpoint: EndpointId): String? =
         listed.get().firstOrNull { instance -> instance.endpoints.any { it.endpoint == endpoint } }?.sessionAddress
 
+    /** Member with its last known address, also while it is leaving. */
+    fun memberOf(endpoint: EndpointId): FleetMember? {
+        val instance = listed.get().firstOrNull { listed -> listed.endpoints.any { it.endpoint == endpoint } } ?: return null
+        val assignment = config.current()?.state?.endpoints?.get(endpoint) ?: return null
+        return FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, assignment)
+    }
+
     suspend fun poll() {
         while (true) {
             refresh()
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ChatRoute.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ChatRoute.kt
@@ -5,11 +5,14 @@
 import io.javalin.http.Context
 import io.javalin.http.Handler
 import io.knapweedferry.api.Answer
-import io.knapweedferry.api.FailureReason
 import io.knapweedferry.api.Outcome
 import io.knapweedferry.api.Refusal
 import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.config.state.ConfigSnapshot
 import io.knapweedferry.config.state.ConfigSource
+import io.knapweedferry.entry.observe.MeasuredSink
+import io.knapweedferry.entry.observe.RequestObserver
+import io.knapweedferry.entry.observe.RequestObservers
 import io.knapweedferry.entry.pipeline.Authenticator
 import io.knapweedferry.entry.pipeline.CallerGoneException
 import io.knapweedferry.entry.pipeline.CallerRequest
@@ -17,6 +20,9 @@
 import io.knapweedferry.entry.pipeline.InFlightLimit
 import io.knapweedferry.entry.pipeline.ModelJob
 import io.knapweedferry.entry.pipeline.ModelPipeline
+import io.knapweedferry.entry.pipeline.ResumePoint
+import io.knapweedferry.telemetry.RequestKind
+import io.knapweedferry.telemetry.TraceStage
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 import java.time.InstantSource
@@ -28,16 +34,18 @@
     private val classifier: ChatClassifier,
     private val limit: InFlightLimit,
     private val pipeline: ModelPipeline,
+    private val observers: RequestObservers,
     private val clock: InstantSource,
 ) : Handler {
     override fun handle(ctx: Context) {
         val request = CallerRequests.read(ctx)
-        val job = limit.enter().flatMap { classified(request).onLeft { limit.leave() } }
+        val observer = observers.start(request.requestId)
+        val job = limit.enter().flatMap { classified(request, observer).onLeft { limit.leave() } }
         job.fold(
-            { ProblemResponse.write(ctx, ProblemDetail.of(it, request.requestId)) },
+            { refuse(ctx, request, it, observer) },
             {
                 try {
-                    if (it.stream) stream(ctx, it) else whole(ctx, it)
+                    if (it.stream) stream(ctx, request, it, observer) else whole(ctx, it, observer)
                 } finally {
                     limit.leave()
                 }
@@ -45,36 +53,82 @@
         )
     }
 
-    private fun classified(request: CallerRequest): Either<Refusal, ModelJob> {
+    private fun refuse(
+        ctx: Context,
+        request: CallerRequest,
+        refusal: Refusal,
+        observer: RequestObserver,
+    ) {
+        observer.refusedEarly(Outcome.NotRun(refusal))
+        ProblemResponse.write(ctx, ProblemDetail.of(refusal, request.requestId))
+    }
+
+    private fun classified(
+        request: CallerRequest,
+        observer: RequestObserver,
+    ): Either<Refusal, ModelJob> {
         val snapshot = config.current() ?: return Either.Left(Refusal(RefusalReason.NOT_READY))
         return authenticator
             .authenticate(request.bearerToken, snapshot)
+            .onRight(observer::authenticated)
             .flatMap { classifier.classify(request.requestId, it, request.body, snapshot) }
+            .onRight { classification(it, observer, snapshot) }
+    }
+
+    private fun classification(
+        job: ModelJob,
+        observer: RequestObserver,
+        snapshot: ConfigSnapshot,
+    ) {
+        observer.decided(
+            TraceStage.CLASSIFY,
+            "accepted",
+            "",
+            "model" to job.model.value,
+            "rank" to job.rank,
+            "prompt_tokens" to job.promptTokens,
+            "max_output_tokens" to job.maxOutputTokens,
+            "revision" to snapshot.revision.value,
+        )
+    }
+
+    private fun finished(
+        job: ModelJob,
+        outcome: Outcome,
+        observer: RequestObserver,
+    ) {
+        observer.finished(RequestKind.MODEL, job.rank, outcome, config.current()?.state?.ranks?.get(job.rank))
     }
 
     private fun stream(
         ctx: Context,
+        request: CallerRequest,
         job: ModelJob,
+        observer: RequestObserver,
     ) {
         val sink = EventStreamSink(ctx, job, clock.millis() / MS_PER_SECOND)
         try {
-            val outcome = runBlocking { pipeline.run(job, sink) }
+            val resume = request.lastEventId?.let(ResumePoint::parse)
+            val outcome = runBlocking { pipeline.run(job, MeasuredSink(sink, observer, job.rank), observer, resume) }
             val problem = ProblemDetail.of(outcome, job.requestId)
             when {
                 problem == null -> sink.finish(generated(outcome).finishReason)
                 sink.started -> sink.fail(problem)
                 else -> ProblemResponse.write(ctx, problem)
             }
-        } catch (gone: CallerGoneException) {
-            abandoned(gone)
+            finished(job, outcome, observer)
+        } catch (_: CallerGoneException) {
+            observer.callerGone()
         }
     }
 
     private fun whole(
         ctx: Context,
         job: ModelJob,
+        observer: RequestObserver,
     ) {
-        val outcome = runBlocking { pipeline.run(job, CollectingSink) }
+        val outcome = runBlocking { pipeline.run(job, MeasuredSink(CollectingSink, observer, job.rank), observer) }
+        finished(job, outcome, observer)
         val problem = ProblemDetail.of(outcome, job.requestId)
         if (problem != null) return ProblemResponse.write(ctx, problem)
         ctx.contentType("application/json").result(Json.encodeToString(completion(job, generated(outcome))))
@@ -93,9 +147,6 @@
 
     private fun generated(outcome: Outcome): Answer.Generated = (outcome as Outcome.Completed).answer as Answer.Generated
 
-    /** Nobody is left to tell; the pipeline already cancelled what it held. */
-    private fun abandoned(gone: CallerGoneException): FailureReason = FailureReason.CANCELLED.also { gone.cause }
-
     private companion object {
         const val MS_PER_SECOND = 1_000
     }
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ServiceRoute.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ServiceRoute.kt
@@ -11,12 +11,15 @@
 import io.knapweedferry.api.RefusalReason
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.config.state.ConfigSource
+import io.knapweedferry.entry.observe.RequestObserver
+import io.knapweedferry.entry.observe.RequestObservers
 import io.knapweedferry.entry.pipeline.Authenticator
 import io.knapweedferry.entry.pipeline.CallerRequest
 import io.knapweedferry.entry.pipeline.InFlightLimit
 import io.knapweedferry.entry.pipeline.ServiceClassifier
 import io.knapweedferry.entry.pipeline.ServiceJob
 import io.knapweedferry.entry.pipeline.ServicePipeline
+import io.knapweedferry.telemetry.RequestKind
 import kotlinx.coroutines.runBlocking
 
 /** `POST /v1/services/{service}/{operation}`. */
@@ -26,17 +29,22 @@
     private val classifier: ServiceClassifier,
     private val limit: InFlightLimit,
     private val pipeline: ServicePipeline,
+    private val observers: RequestObservers,
 ) : Handler {
     override fun handle(ctx: Context) {
         val request = CallerRequests.read(ctx)
         val service = ServiceName(ctx.pathParam("service"))
         val operation = OperationName(ctx.pathParam("operation"))
-        val job = limit.enter().flatMap { classified(request, service, operation).onLeft { limit.leave() } }
+        val observer = observers.start(request.requestId)
+        val job = limit.enter().flatMap { classified(request, service, operation, observer).onLeft { limit.leave() } }
         job.fold(
-            { ProblemResponse.write(ctx, ProblemDetail.of(it, request.requestId)) },
+            {
+                observer.refusedEarly(Outcome.NotRun(it))
+                ProblemResponse.write(ctx, ProblemDetail.of(it, request.requestId))
+            },
             {
                 try {
-                    answer(ctx, it)
+                    answer(ctx, it, observer)
                 } finally {
                     limit.leave()
                 }
@@ -48,18 +56,22 @@
         request: CallerRequest,
         service: ServiceName,
         operation: OperationName,
+        observer: RequestObserver,
     ): Either<Refusal, ServiceJob> {
         val snapshot = config.current() ?: return Either.Left(Refusal(RefusalReason.NOT_READY))
         return authenticator
             .authenticate(request.bearerToken, snapshot)
+            .onRight(observer::authenticated)
             .flatMap { classifier.classify(request, it, service, operation, snapshot) }
     }
 
     private fun answer(
         ctx: Context,
         job: ServiceJob,
+        observer: RequestObserver,
     ) {
-        val outcome = runBlocking { pipeline.run(job) }
+        val outcome = runBlocking { pipeline.run(job, observer) }
+        observer.finished(RequestKind.SERVICE, job.rank, outcome, targets = null)
         val problem = ProblemDetail.of(outcome, job.requestId)
         if (problem != null) return ProblemResponse.write(ctx, problem)
         val reply = (outcome as Outcome.Completed).answer as Answer.ServiceReply
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/RequestObserver.kt
@@ -0,0 +1,128 @@
+package io.knapweedferry.entry.observe
+
+import io.knapweedferry.api.OrganisationId
+import io.knapweedferry.api.Outcome
+import io.knapweedferry.api.Rank
+import io.knapweedferry.api.RetryReason
+import io.knapweedferry.config.state.RankPolicy
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+import io.knapweedferry.telemetry.RequestKind
+import io.knapweedferry.telemetry.RequestTrace
+import io.knapweedferry.telemetry.RouterMetrics
+import io.knapweedferry.telemetry.TraceStage
+import kotlin.time.Duration
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** Records the decisions and timings of one request: trace for the auditor, metrics and log events for operators. */
+internal class RequestObserver(
+    private val trace: RequestTrace,
+    private val metrics: RouterMetrics,
+    private val events: EventLog,
+    private val submit: (RequestTrace, String) -> Unit,
+    private val timeSource: TimeSource,
+) {
+    private val start: TimeMark = timeSource.markNow()
+    private var firstTokenAfter: Duration? = null
+    private var lastTokenAfter: Duration? = null
+    private var deliveredTokens = 0
+
+    fun authenticated(organisation: OrganisationId) {
+        trace.organisation = organisation
+    }
+
+    fun decided(
+        stage: TraceStage,
+        decision: String,
+        reason: String = "",
+        vararg inputs: Pair<String, Any?>,
+    ) {
+        trace.step(stage, decision, reason, *inputs)
+    }
+
+    fun retried(
+        reason: RetryReason,
+        detail: String,
+    ) {
+        metrics.retried(reason)
+        trace.step(TraceStage.RETRY, "next attempt", reason.code, "detail" to detail)
+        events.write(LogEvent.REQUEST_RETRIED, "request" to trace.requestId.value, "reason" to reason.code, "detail" to detail)
+    }
+
+    fun delivered(
+        rank: Rank,
+        tokenCount: Int,
+    ) {
+        val elapsed = start.elapsedNow()
+        val last = lastTokenAfter
+        if (last == null) {
+            firstTokenAfter = elapsed
+            metrics.firstToken(rank, elapsed)
+        } else {
+            metrics.interToken(rank, (elapsed - last) / tokenCount)
+        }
+        lastTokenAfter = elapsed
+        deliveredTokens += tokenCount
+        metrics.delivered(rank, tokenCount)
+    }
+
+    fun finished(
+        kind: RequestKind,
+        rank: Rank,
+        outcome: Outcome,
+        targets: RankPolicy?,
+    ) {
+        metrics.finished(kind, rank, outcome)
+        if (outcome is Outcome.Completed && targets != null && metTargets(targets)) metrics.metTargets(rank)
+        report(outcome)
+        submit(trace, label(outcome))
+    }
+
+    /** Ends a request that was refused before its rank was known. */
+    fun refusedEarly(outcome: Outcome.NotRun) {
+        report(outcome)
+        submit(trace, label(outcome))
+    }
+
+    fun callerGone() {
+        trace.step(TraceStage.CANCEL, "cancelled", "the caller's connection broke", "delivered_tokens" to deliveredTokens)
+        events.write(LogEvent.CALLER_GONE, "request" to trace.requestId.value)
+        submit(trace, "cancelled")
+    }
+
+    private fun metTargets(targets: RankPolicy): Boolean {
+        val first = firstTokenAfter ?: return false
+        val last = lastTokenAfter ?: return false
+        val gaps = maxOf(deliveredTokens - 1, 1)
+        val interTokenMs = (last - first).inWholeMilliseconds.toDouble() / gaps
+        return first.inWholeMilliseconds <= targets.firstTokenTargetMs && interTokenMs <= targets.interTokenTargetMs
+    }
+
+    private fun report(outcome: Outcome) {
+        val request = "request" to trace.requestId.value
+        when (outcome) {
+            is Outcome.Completed -> events.write(LogEvent.REQUEST_COMPLETED, request)
+            is Outcome.NotRun -> {
+                metrics.refused(outcome.refusal.reason)
+                events.write(LogEvent.REQUEST_NOT_RUN, request, "reason" to outcome.refusal.message)
+            }
+            is Outcome.Failed -> {
+                metrics.failed(outcome.reason)
+                events.write(LogEvent.REQUEST_FAILED, request, "reason" to outcome.reason.code, "detail" to outcome.detail)
+            }
+            is Outcome.Unknown -> {
+                metrics.unknown(outcome.reason)
+                events.write(LogEvent.REQUEST_UNKNOWN, request, "reason" to outcome.reason.code, "detail" to outcome.detail)
+            }
+        }
+    }
+
+    private fun label(outcome: Outcome): String =
+        when (outcome) {
+            is Outcome.Completed -> "completed"
+            is Outcome.NotRun -> "not_run ${outcome.refusal.reason.code}"
+            is Outcome.Failed -> "failed ${outcome.reason.code}"
+            is Outcome.Unknown -> "unknown ${outcome.reason.code}"
+        }
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/DecodeStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/DecodeStage.kt
@@ -20,6 +20,7 @@
 import io.knapweedferry.session.Exchange
 import io.knapweedferry.session.SessionClient
 import io.knapweedferry.session.SessionError
+import io.knapweedferry.telemetry.TraceStage
 
 /** Uses the lease, delivers the tokens, and takes the stream up again on a new session when the old one is lost. */
 internal class DecodeStage(
@@ -40,9 +41,11 @@
         try {
             val first = placement.attach ?: request(attempt, member, checkNotNull(placement.lease), source)
             return follow(attempt, member, first)
+                .onLeft { trace(attempt, member, "ended early", it.toString()) }
                 .onLeft { if (it.neverSubmitted()) attempt.submitted = submittedBefore }
                 .mapLeft { it.toAttemptEnd() }
                 .onRight { loads.heard(it.load) }
+                .onRight { trace(attempt, member, "whole", "${it.tokenCount} tokens, digest ${it.digest}") }
         } finally {
             loads.ended(member.endpoint)
         }
@@ -87,12 +90,21 @@
                 is AnswerEnd -> return prove(attempt, message)
                 is AttemptFailed -> return StreamEnd.Failed(message.reason, message.detail).left().also { loads.heard(message.load) }
                 is Refused -> return StreamEnd.Refused(message.refusal).left()
-                is DecodeStarted -> Unit
+                is DecodeStarted -> trace(attempt, member, "started", "cache moved in ${message.transferMs} ms")
                 else -> return StreamEnd.Failed(FailureReason.ENGINE_FAILED, "unexpected reply").left()
             }
         }
     }
 
+    private fun trace(
+        attempt: ModelAttempt,
+        member: FleetMember,
+        decision: String,
+        reason: String,
+    ) {
+        attempt.observer.decided(TraceStage.DECODE, decision, reason, "endpoint" to member.endpoint.value, "attempt" to attempt.number)
+    }
+
     private fun deliver(
         attempt: ModelAttempt,
         member: FleetMember,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelAttempt.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelAttempt.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.entry.pipeline
 
 import io.knapweedferry.entry.fleet.FleetMember
+import io.knapweedferry.entry.observe.RequestObserver
 
 /** State of one attempt of a model request. */
 internal class ModelAttempt(
@@ -8,6 +9,7 @@
     val number: Int,
     val assembler: AnswerAssembler,
     val sink: AnswerSink,
+    val observer: RequestObserver,
 ) {
     /** Endpoints that may hold something for this attempt. */
     val touched: MutableSet<FleetMember> = LinkedHashSet()
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
@@ -6,6 +6,7 @@
 import io.knapweedferry.api.FailureReason
 import io.knapweedferry.api.Outcome
 import io.knapweedferry.api.message.AnswerEnd
+import io.knapweedferry.entry.observe.RequestObserver
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -26,45 +27,48 @@
     suspend fun run(
         job: ModelJob,
         sink: AnswerSink,
-        fromPosition: Int = 0,
+        observer: RequestObserver,
+        resume: ResumePoint? = null,
     ): Outcome {
-        val assembler = AnswerAssembler(job.requestId, fromPosition)
-        return withTimeoutOrNull(job.deadlineMs().milliseconds) { runAttempts(job, sink, assembler) } ?: timedOut(assembler)
+        val assembler = AnswerAssembler(job.requestId, resume?.position ?: 0)
+        val run = Run(job, sink, assembler, observer, resume)
+        return withTimeoutOrNull(job.deadlineMs().milliseconds) { withKeepAlive(run) } ?: timedOut(assembler)
     }
 
-    private suspend fun runAttempts(
-        job: ModelJob,
-        sink: AnswerSink,
-        assembler: AnswerAssembler,
-    ): Outcome =
+    private class Run(
+        val job: ModelJob,
+        val sink: AnswerSink,
+        val assembler: AnswerAssembler,
+        val observer: RequestObserver,
+        val resume: ResumePoint?,
+    )
+
+    private suspend fun withKeepAlive(run: Run): Outcome =
         coroutineScope {
             val keepAlive =
                 launch {
                     while (true) {
                         delay(keepAliveMs.milliseconds)
-                        sink.keepAlive()
+                        run.sink.keepAlive()
                     }
                 }
             try {
-                attempts(job, sink, assembler)
+                attempts(run)
             } finally {
                 keepAlive.cancel()
             }
         }
 
-    private suspend fun attempts(
-        job: ModelJob,
-        sink: AnswerSink,
-        assembler: AnswerAssembler,
-    ): Outcome {
+    private suspend fun attempts(run: Run): Outcome {
         retries.requestStarted()
+        resumed(run)?.let { return it }
         var submitted = false
         var number = 1
         while (true) {
-            val attempt = ModelAttempt(job, number, assembler, sink)
-            val end = runOnce(attempt).fold({ it }, { return completed(job, assembler, it) })
+            val attempt = ModelAttempt(run.job, number, run.assembler, run.sink, run.observer)
+            val end = runOnce(attempt).fold({ it }, { return completed(run, it) })
             submitted = submitted || attempt.submitted
-            val outcome = outcomeIfOver(number, end)
+            val outcome = outcomeIfOver(number, end, run.observer)
             if (outcome != null) return truthful(outcome, submitted)
             number++
         }
@@ -73,10 +77,11 @@
     private suspend fun outcomeIfOver(
         number: Int,
         end: AttemptEnd,
+        observer: RequestObserver,
     ): Outcome? =
         when (end) {
             is AttemptEnd.Final -> end.outcome
-            is AttemptEnd.Retry -> retries.mayRetry(number, end)
+            is AttemptEnd.Retry -> retries.mayRetry(number, end, observer)
         }
 
     /** A refusal of the last attempt does not undo what an earlier one submitted. */
@@ -104,11 +109,18 @@
         }
     }
 
+    /** Takes up the stream that a caller names who comes back; null if its sidecar no longer has it. */
+    private suspend fun resumed(run: Run): Outcome? {
+        val resume = run.resume ?: return null
+        val placement = place.placementOf(run.job, resume) ?: return null
+        val attempt = ModelAttempt(run.job, resume.attempt, run.assembler, run.sink, run.observer)
+        return decode.decode(attempt, placement, source = null).getOrNull()?.let { completed(run, it) }
+    }
+
     private fun completed(
-        job: ModelJob,
-        assembler: AnswerAssembler,
+        run: Run,
         end: AnswerEnd,
-    ) = Outcome.Completed(Answer.Generated(assembler.texts, job.promptTokens, end.finishReason))
+    ) = Outcome.Completed(Answer.Generated(run.assembler.texts, run.job.promptTokens, end.finishReason))
 
     /** Model work has no effect that must not repeat, so only a request without any token is reported as refused. */
     private fun timedOut(assembler: AnswerAssembler): Outcome {
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PlaceStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PlaceStage.kt
@@ -17,6 +17,7 @@
 import io.knapweedferry.entry.fleet.LoadBoard
 import io.knapweedferry.entry.fleet.ask
 import io.knapweedferry.session.SessionClient
+import io.knapweedferry.telemetry.TraceStage
 
 /**
  * Reserves decode capacity before anything is computed, because a prefill without a place to decode is wasted within a
@@ -30,6 +31,8 @@
 ) {
     suspend fun place(attempt: ModelAttempt): Either<AttemptEnd, Placement> {
         val members = candidates.forModel(fleet.current().enginesFor(attempt.job.model, DECODE_ROLES), attempt.job)
+        val tried = members.take(MAX_PROBES).joinToString(",") { it.endpoint.value }
+        attempt.observer.decided(TraceStage.PLACE, "ordered", "", "candidates" to members.size, "tried_first" to tried)
         if (members.isEmpty()) return notRun(Refusal(RefusalReason.NO_ENDPOINT, retryAfterMs = RETRY_AFTER_MS))
         var last: AttemptEnd = AttemptEnd.Final(Outcome.NotRun(Refusal(RefusalReason.NO_ENDPOINT)))
         for (member in members.take(MAX_PROBES)) {
@@ -40,6 +43,15 @@
         return last.left()
     }
 
+    /** Placement on the stream that a returning caller names, or null if its endpoint is unknown. */
+    fun placementOf(
+        job: ModelJob,
+        resume: ResumePoint,
+    ): Placement? {
+        val member = fleet.memberOf(resume.endpoint) ?: return null
+        return Placement(member, null, Attach(job.requestId, job.organisation, resume.endpoint, resume.position))
+    }
+
     private suspend fun reserve(
         attempt: ModelAttempt,
         member: FleetMember,
@@ -55,11 +67,12 @@
         return reply.fold(
             { error ->
                 loads.avoid(member.endpoint)
+                traceReserve(attempt, member, "unreachable", error.message)
                 retry(Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, error.message))
             },
             { message ->
                 when (message) {
-                    is Reserved -> granted(member, message)
+                    is Reserved -> granted(attempt, member, message)
                     is Refused -> refused(attempt, member, message)
                     else -> retry(Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, "unexpected reply"))
                 }
@@ -68,10 +81,12 @@
     }
 
     private fun granted(
+        attempt: ModelAttempt,
         member: FleetMember,
         reserved: Reserved,
     ): Either<AttemptEnd, Placement> {
         loads.heard(reserved.load)
+        traceReserve(attempt, member, "granted", "queued ${reserved.queuedMs} ms")
         return Placement(member, reserved.lease, attach = null).right()
     }
 
@@ -81,6 +96,7 @@
         refused: Refused,
     ): Either<AttemptEnd, Placement> {
         loads.heard(refused.load)
+        traceReserve(attempt, member, "refused", refused.refusal.message)
         attempt.touched -= member
         val reason = refused.refusal.reason
         // The same request still runs there, left behind by an entry that died: its stream is taken over.
@@ -90,6 +106,15 @@
         return retry(refused.refusal)
     }
 
+    private fun traceReserve(
+        attempt: ModelAttempt,
+        member: FleetMember,
+        decision: String,
+        reason: String,
+    ) {
+        attempt.observer.decided(TraceStage.RESERVE, decision, reason, "endpoint" to member.endpoint.value, "attempt" to attempt.number)
+    }
+
     private fun attachTo(
         attempt: ModelAttempt,
         member: FleetMember,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
@@ -20,6 +20,7 @@
 import io.knapweedferry.entry.fleet.ask
 import io.knapweedferry.session.SessionClient
 import io.knapweedferry.session.SessionError
+import io.knapweedferry.telemetry.TraceStage
 
 /** Computes the KV cache on a prefill endpoint, or leaves it to the decode endpoint where that may prefill itself. */
 internal class PrefillStage(
@@ -34,7 +35,10 @@
         placement: Placement,
     ): Either<AttemptEnd, KvSource?> {
         val members = candidates.forModel(fleet.current().enginesFor(attempt.job.model, setOf(EndpointRole.PREFILL)), attempt.job)
-        if (decodesAlone(attempt.job, placement, members)) return null.right()
+        if (decodesAlone(attempt.job, placement, members)) {
+            trace(attempt, placement.member, "left to the decode endpoint", "short prompt or no prefill endpoint")
+            return null.right()
+        }
         if (members.isEmpty()) return AttemptEnd.Final(Outcome.NotRun(Refusal(RefusalReason.NO_ENDPOINT, "no prefill endpoint"))).left()
         var last: AttemptEnd = AttemptEnd.Final(Outcome.NotRun(Refusal(RefusalReason.DEADLINE)))
         for (member in members.take(MAX_PROBES)) {
@@ -70,26 +74,52 @@
         return reply.fold(
             { error ->
                 loads.avoid(member.endpoint)
+                trace(attempt, member, "unreachable", error.message)
                 if (error !is SessionError.Lost) attempt.submitted = submittedBefore
                 failed(FailureReason.SESSION_LOST, error.message)
             },
             { message ->
                 when (message) {
-                    is Prefilled -> message.source.right().also { loads.heard(message.load) }
+                    is Prefilled -> prefilled(attempt, member, message)
                     is Refused -> refused(attempt, member, message).also { attempt.submitted = submittedBefore }
-                    is AttemptFailed -> failed(message.reason, message.detail).also { loads.heard(message.load) }
+                    is AttemptFailed -> {
+                        loads.heard(message.load)
+                        trace(attempt, member, "failed", message.detail)
+                        failed(message.reason, message.detail)
+                    }
                     else -> failed(FailureReason.PREFILL_FAILED, "unexpected reply")
                 }
             },
         )
     }
 
+    private fun prefilled(
+        attempt: ModelAttempt,
+        member: FleetMember,
+        done: Prefilled,
+    ): Either<AttemptEnd, KvSource> {
+        loads.heard(done.load)
+        val timing = "queued ${done.queuedMs} ms, computed ${done.prefillMs} ms, ${done.cachedTokens} tokens cached"
+        trace(attempt, member, "prefilled", timing)
+        return done.source.right()
+    }
+
+    private fun trace(
+        attempt: ModelAttempt,
+        member: FleetMember,
+        decision: String,
+        reason: String,
+    ) {
+        attempt.observer.decided(TraceStage.PREFILL, decision, reason, "endpoint" to member.endpoint.value, "attempt" to attempt.number)
+    }
+
     private fun refused(
         attempt: ModelAttempt,
         member: FleetMember,
         refused: Refused,
     ): Either<AttemptEnd, KvSource> {
         loads.heard(refused.load)
+        trace(attempt, member, "refused", refused.refusal.message)
         attempt.touched -= member
         if (refused.refusal.reason == RefusalReason.ENDPOINT_LEAVING) loads.avoid(member.endpoint)
         return AttemptEnd.retryRefused(RetryReason.REFUSED_BY_SIDECAR, refused.refusal).left()
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/RetryRule.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/RetryRule.kt
@@ -3,7 +3,7 @@
 import io.knapweedferry.api.Outcome
 import io.knapweedferry.api.Refusal
 import io.knapweedferry.api.RefusalReason
-import io.knapweedferry.api.RetryReason
+import io.knapweedferry.entry.observe.RequestObserver
 import kotlinx.coroutines.delay
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -13,7 +13,6 @@
     private val maxAttempts: Int,
     private val budget: RetryAllowance,
     private val random: Random,
-    private val onRetry: (RetryReason) -> Unit = {},
 ) {
     fun requestStarted() {
         budget.requestStarted()
@@ -23,14 +22,23 @@
     suspend fun mayRetry(
         attemptNumber: Int,
         end: AttemptEnd.Retry,
+        observer: RequestObserver,
     ): Outcome? {
         if (attemptNumber >= maxAttempts) return end.outcome
         if (!budget.tryRetry()) return overBudget(end.outcome)
-        onRetry(end.reason)
+        observer.retried(end.reason, detailOf(end.outcome))
         delay(random.nextLong(BASE_PAUSE_MS shl attemptNumber).milliseconds)
         return null
     }
 
+    private fun detailOf(outcome: Outcome): String =
+        when (outcome) {
+            is Outcome.NotRun -> outcome.refusal.message
+            is Outcome.Failed -> outcome.detail
+            is Outcome.Unknown -> outcome.detail
+            is Outcome.Completed -> ""
+        }
+
     /** A failed attempt stays failed; only a request that was never run may be reported as refused. */
     private fun overBudget(outcome: Outcome): Outcome =
         if (outcome is Outcome.NotRun) Outcome.NotRun(Refusal(RefusalReason.RETRY_BUDGET, retryAfterMs = RETRY_AFTER_MS)) else outcome
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServicePipeline.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServicePipeline.kt
@@ -19,6 +19,8 @@
 import io.knapweedferry.entry.fleet.FleetMember
 import io.knapweedferry.entry.fleet.FleetView
 import io.knapweedferry.entry.fleet.IncarnationCache
+import io.knapweedferry.entry.observe.RequestObserver
+import io.knapweedferry.telemetry.TraceStage
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -35,13 +37,18 @@
     private val settle: SettleStage,
     private val retries: RetryRule,
 ) {
-    suspend fun run(job: ServiceJob): Outcome {
-        val progress = Progress()
+    suspend fun run(
+        job: ServiceJob,
+        observer: RequestObserver,
+    ): Outcome {
+        val progress = Progress(observer)
         return withTimeoutOrNull(job.deadlineMs().milliseconds) { attempts(job, progress) } ?: timedOut(job, progress)
     }
 
     /** Whether a timeout now may still be reported as "not run". */
-    private class Progress {
+    private class Progress(
+        val observer: RequestObserver,
+    ) {
         var mayHaveRun = false
     }
 
@@ -55,7 +62,7 @@
             val end = attempt(job, number, progress).fold({ it }, { return it })
             when (end) {
                 is AttemptEnd.Final -> return end.outcome
-                is AttemptEnd.Retry -> retries.mayRetry(number, end)?.let { return it }
+                is AttemptEnd.Retry -> retries.mayRetry(number, end, progress.observer)?.let { return it }
             }
             number++
         }
@@ -68,6 +75,7 @@
     ): Either<AttemptEnd, Outcome> {
         val members = candidates.forService(fleet.current().servicesFor(job.service), job)
         val member = members.firstOrNull() ?: return notRun(Refusal(RefusalReason.NO_ENDPOINT, retryAfterMs = RETRY_AFTER_MS))
+        progress.observer.decided(TraceStage.PLACE, "chosen", "", "endpoint" to member.endpoint.value, "candidates" to members.size)
         if (job.key == null) {
             progress.mayHaveRun = true
             return invoke.invoke(request(job, number, member, claim = null), member).mapLeft { it.asRepeatable() }
@@ -87,6 +95,7 @@
                 .incarnationOf(member.address)
                 .fold({ return invoke.unreachable(member, it.message) }, { it })
         val decision = claims.claim(ClaimRequest(key, job.requestId, member.endpoint, incarnation, number, job.deadlineMs()))
+        progress.observer.decided(TraceStage.CLAIM, decision.toString(), "", "endpoint" to member.endpoint.value)
         return when (decision) {
             is ClaimDecision.NotClaimed -> notRun(decision.refusal)
             is ClaimDecision.Undecidable -> Outcome.Unknown(decision.reason, decision.detail).right()
@@ -104,6 +113,7 @@
     ): Either<AttemptEnd, Outcome> {
         progress.mayHaveRun = true
         val end = invoke.invoke(request(job, number, member, claim), member).fold({ it }, { return it.right() })
+        progress.observer.decided(TraceStage.INVOKE, end.toString())
         if (end is InvokeEnd.NotDispatched) {
             incarnations.forget(member.address)
             val voided = claims.abandon(claim)
