--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -0,0 +1,15 @@
+package io.knapweedferry.testing
+
+import io.knapweedferry.testing.command.StandInsCommand
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+
+/** Entry point of `knapweedferry-testbed`; one subcommand per tool. */
+@OptIn(ExperimentalCli::class)
+public fun main(arguments: Array<String>) {
+    // The library folder is shared with other programs, so the usual resource name could find the settings of another one.
+    System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
+    val parser = ArgParser("knapweedferry-testbed")
+    parser.subcommands(StandInsCommand())
+    parser.parse(arguments)
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandInAnswer.kt
@@ -0,0 +1,58 @@
+package io.knapweedferry.testing.standin
+
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+
+/**
+ * Answer of every stand-in engine to [prompt]. It depends on nothing else, so that whoever knows the prompt can check an
+ * answer byte for byte.
+ */
+public class StandInAnswer(
+    prompt: String,
+    maxOutputTokens: Int,
+) {
+    private val hash = ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(prompt.encodeToByteArray())).getLong()
+    private val fullLength = marked(prompt) ?: (SHORTEST + Math.floorMod(hash, SPREAD).toInt())
+
+    /** Number of tokens of the answer. */
+    public val length: Int = minOf(fullLength, maxOutputTokens)
+
+    /** `length` if the limit cuts the answer short, otherwise `stop`. */
+    public val finishReason: String = if (length < fullLength) "length" else "stop"
+
+    /** Text of the token at [position]. */
+    public fun text(position: Int): String = " " + java.lang.Long.toString(mix(hash + position) ushr TEXT_SHIFT, RADIX)
+
+    /** Texts of all tokens in order. */
+    public fun texts(): List<String> = List(length, ::text)
+
+    // Finalizer of SplitMix64: neighbouring positions get unrelated texts.
+    private fun mix(value: Long): Long {
+        val first = (value xor (value ushr 30)) * -0x40a7b892e31b1a47L
+        val second = (first xor (first ushr 27)) * -0x6b2fb644ecceee15L
+        return second xor (second ushr 31)
+    }
+
+    public companion object {
+        private const val CHARS_PER_TOKEN = 4
+        private const val MARKER = "[[answer="
+        private const val MARKER_DIGITS = 6
+        private const val SHORTEST = 20
+        private const val SPREAD = 200L
+        private const val TEXT_SHIFT = 44
+        private const val RADIX = 36
+
+        /** Number of tokens of a prompt. */
+        public fun promptTokens(prompt: String): Int = (prompt.length + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN
+
+        private fun marked(prompt: String): Int? {
+            val start = prompt.lastIndexOf(MARKER)
+            if (start < 0) return null
+            return prompt
+                .substring(start + MARKER.length)
+                .takeWhile(Char::isDigit)
+                .take(MARKER_DIGITS)
+                .toIntOrNull()
+        }
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineDirectory.kt
@@ -0,0 +1,34 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.testing.standin.settings.LinkSettings
+import io.knapweedferry.testing.standin.settings.TimeScale
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.TimeSource
+
+/** Engines of the process by the URL that they announce, and the links between them. */
+internal class EngineDirectory(
+    links: List<LinkSettings>,
+    private val timeScale: TimeScale,
+    private val timeSource: TimeSource,
+) {
+    private val engines = ConcurrentHashMap<String, EngineStandIn>()
+    private val links = links.associate { it.name to Link(it.name, it.rateBytesPerSecond) }
+
+    fun add(engine: EngineStandIn) {
+        engines[engine.url] = engine
+    }
+
+    fun find(url: String): EngineStandIn? = engines[url.trimEnd('/')]
+
+    /** Suspends as long as the cache of [tokens] tokens takes over the links of both engines. */
+    suspend fun transfer(
+        from: EngineStandIn,
+        to: EngineStandIn,
+        tokens: Int,
+    ) {
+        val route = setOfNotNull(from.linkName, to.linkName).mapNotNull(links::get)
+        Link.transfer(tokens * timeScale.kvBytesPerToken, route, timeSource) {
+            from.faults.transferStalled || to.faults.transferStalled
+        }
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineRoutes.kt
@@ -0,0 +1,89 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.javalin.config.RoutesConfig
+import io.javalin.http.Context
+import io.knapweedferry.platform.engine.CacheEvent
+import io.knapweedferry.platform.engine.CancelRequest
+import io.knapweedferry.platform.engine.EngineLoad
+import io.knapweedferry.platform.engine.EngineOrder
+import io.knapweedferry.platform.engine.GenerateOrder
+import io.knapweedferry.platform.engine.ImportRequest
+import io.knapweedferry.platform.engine.PrefillOrder
+import io.knapweedferry.platform.engine.PrefillResult
+import io.knapweedferry.platform.engine.ReleaseRequest
+import io.knapweedferry.testing.standin.http.Calls
+import io.knapweedferry.testing.standin.http.StandInFailure
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.builtins.serializer
+
+/** HTTP side of all [EngineStandIn]s, chosen by the port of the request. */
+internal class EngineRoutes(
+    private val calls: Calls,
+    private val engines: Map<Int, EngineStandIn>,
+) {
+    fun register(routes: RoutesConfig) {
+        post(routes, "/prefill", PrefillOrder.serializer(), PrefillResult.serializer(), EngineStandIn::prefill)
+        command(routes, "/import", ImportRequest.serializer(), EngineStandIn::importKv)
+        command(routes, "/cancel", CancelRequest.serializer()) { cancel(it.id.value) }
+        command(routes, "/release", ReleaseRequest.serializer()) { release(it.handle) }
+        command(routes, "/orders", EngineOrder.serializer(), EngineStandIn::order)
+        get(routes, "/held", ListSerializer(String.serializer())) { held() }
+        get(routes, "/load", EngineLoad.serializer()) { load() }
+        get(routes, "/cache-events", ListSerializer(CacheEvent.serializer())) { cacheEvents(it.queryParam("after")?.toLongOrNull() ?: 0) }
+        routes.post("/generate", ::generate)
+        routes.post("/admin/crash") { context ->
+            calls.answer(context) {
+                engine(context).crash()
+                "{}"
+            }
+        }
+    }
+
+    private fun generate(context: Context) =
+        calls.stream(context) {
+            val order = Calls.decode(context, GenerateOrder.serializer())
+            val engine = engine(context)
+            val sink = NdjsonSink(context, engine::disconnected)
+            engine.generate(order, sink)
+            sink.open()
+            sink.done
+        }
+
+    private fun <I, O> post(
+        routes: RoutesConfig,
+        path: String,
+        input: KSerializer<I>,
+        output: KSerializer<O>,
+        action: suspend EngineStandIn.(I) -> O,
+    ) = routes.post(path) { context ->
+        calls.answer(context) {
+            val order = Calls.decode(context, input)
+            Calls.json.encodeToString(output, engine(context).action(order))
+        }
+    }
+
+    private fun <I> command(
+        routes: RoutesConfig,
+        path: String,
+        input: KSerializer<I>,
+        action: suspend EngineStandIn.(I) -> Unit,
+    ) = routes.post(path) { context ->
+        calls.answer(context) {
+            engine(context).action(Calls.decode(context, input))
+            "{}"
+        }
+    }
+
+    private fun <O> get(
+        routes: RoutesConfig,
+        path: String,
+        output: KSerializer<O>,
+        action: suspend EngineStandIn.(Context) -> O,
+    ) = routes.get(path) { context ->
+        calls.answer(context) { Calls.json.encodeToString(output, engine(context).action(context)) }
+    }
+
+    private fun engine(context: Context): EngineStandIn =
+        engines[context.req().localPort] ?: throw StandInFailure.notFound("no engine on port ${context.req().localPort}")
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
@@ -0,0 +1,226 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.api.KvHandle
+import io.knapweedferry.api.KvSource
+import io.knapweedferry.platform.engine.CacheEvent
+import io.knapweedferry.platform.engine.EngineLoad
+import io.knapweedferry.platform.engine.EngineOrder
+import io.knapweedferry.platform.engine.GenerateOrder
+import io.knapweedferry.platform.engine.ImportRequest
+import io.knapweedferry.platform.engine.PrefillOrder
+import io.knapweedferry.platform.engine.PrefillResult
+import io.knapweedferry.testing.standin.StandInAnswer
+import io.knapweedferry.testing.standin.http.Admin
+import io.knapweedferry.testing.standin.http.LostAnswer
+import io.knapweedferry.testing.standin.http.StandInFailure
+import io.knapweedferry.testing.standin.settings.EngineSettings
+import io.knapweedferry.testing.standin.settings.TimeScale
+import io.knapweedferry.testing.standin.weight.WeightStoreStandIn
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/**
+ * Model engine that computes nothing but takes the time and memory of a real one. All its state is confined to
+ * [dispatcher], which runs one task at a time.
+ */
+internal class EngineStandIn(
+    private val settings: EngineSettings,
+    val url: String,
+    private val timeScale: TimeScale,
+    directory: EngineDirectory,
+    weights: WeightStoreStandIn?,
+    seed: Long,
+    scope: CoroutineScope,
+    private val dispatcher: CoroutineDispatcher,
+    timeSource: TimeSource = TimeSource.Monotonic,
+) : Admin<EngineFaults, EngineLedger> {
+    private val confined = scope + dispatcher
+    private val counters = EngineCounters()
+    private val memory = MemoryPool(settings.pieces, settings.pieceTokens)
+    private val events = CacheEventFeed(timeScale.cacheEventLagMs, timeScale.cacheEventLoss, Random(seed), timeSource)
+    private val cache = PrefixCache(settings.prefixCacheTokens, events::add)
+    private val prefills = PrefillQueue(timeScale, memory, cache, counters) { faults.slowFactor }
+    private val exports = KvExports(settings.name, timeScale.exportTtlMs, confined, memory, counters)
+    private val imports = KvImports(this, directory, confined, memory, counters)
+    private val decoder =
+        Decoder(settings.slots, timeScale, confined, timeSource, DecoderParts(memory, prefills, imports, counters) { faults })
+    private val loader =
+        ModelLoader(
+            LoadedModel(settings.model, settings.version, null, settings.role),
+            settings.checksFencing,
+            timeScale.adapterLoadMs,
+            weights,
+            confined,
+            counters,
+            ::unload,
+        )
+
+    @Volatile
+    private var reportedLoad = currentLoad()
+
+    @Volatile
+    override var faults = EngineFaults()
+    override val faultsSerializer = EngineFaults.serializer()
+    override val ledgerSerializer = EngineLedger.serializer()
+
+    val linkName: String? get() = settings.link
+
+    init {
+        memory.onFreed = prefills::wake
+        confined.launch { prefills.serve() }
+        confined.launch { decoder.serve() }
+        confined.launch { reportLoad() }
+    }
+
+    suspend fun prefill(order: PrefillOrder): PrefillResult =
+        call {
+            serve(order.model)
+            val id = order.id.value
+            val tokens = StandInAnswer.promptTokens(order.prompt)
+            exports.ofRequest(id)?.let { return@call PrefillResult(KvSource(it.handle, url, tokens), tokens - it.computedTokens) }
+            if (prefills.has(id)) throw StandInFailure(CONFLICT, "duplicate", "this prefill is in progress")
+            val cached =
+                withTimeoutOrNull(order.timeoutMs) { prefills.run(id, order.prompt, tokens, null, order.priority) } ?: run {
+                    memory.free(id)
+                    throw StandInFailure.notDone("prefill not finished in time and dropped")
+                }
+            val export = exports.publish(id, tokens, tokens - cached)
+            PrefillResult(KvSource(export.handle, url, tokens), cached)
+        }
+
+    suspend fun importKv(request: ImportRequest) = call { imports.run(request) }
+
+    /** Returns once the stream is accepted; [sink] gets the answer. */
+    suspend fun generate(
+        order: GenerateOrder,
+        sink: TokenSink,
+    ) = call {
+        serve(order.model)
+        decoder.generate(order, sink)
+    }
+
+    /** Tells the engine that the connection of [sink] is broken. */
+    fun disconnected(sink: TokenSink) {
+        confined.launch {
+            val stream = decoder.detach(sink) ?: return@launch
+            counters.brokenConnections++
+            if (settings.cancelOnDisconnect) decoder.cancel(stream.id)
+        }
+    }
+
+    suspend fun cancel(id: String) =
+        call {
+            decoder.cancel(id)
+            prefills.cancel(id, StandInFailure(CONFLICT, "cancelled", "the prefill was cancelled"))
+            imports.cancel(id)
+            exports.ofRequest(id)?.let(exports::drop)
+            memory.free(id)
+        }
+
+    suspend fun release(handle: KvHandle) = call { exports.drop(handle) }
+
+    suspend fun held(): List<String> = call { heldIds() }
+
+    suspend fun load(): EngineLoad = call { reportedLoad }
+
+    suspend fun cacheEvents(after: Long): List<CacheEvent> = call { events.after(after) }
+
+    suspend fun order(order: EngineOrder) = call { loader.accept(order) }
+
+    /** Loses everything but the model, as after a restart of the engine process. */
+    suspend fun crash() =
+        withContext(dispatcher) {
+            counters.crashes++
+            decoder.endAll { it.sink?.cut() }
+            prefills.ids.forEach { prefills.cancel(it, LostAnswer()) }
+            imports.cancelAll()
+            exports.dropAll()
+            memory.owners.toList().forEach(memory::free)
+            cache.clear()
+        }
+
+    /** Starts an export to another engine; null if the cache is gone. */
+    suspend fun claimExport(handle: KvHandle): KvExport? = withContext(dispatcher) { exports.claim(handle) }
+
+    fun settleExport(
+        export: KvExport,
+        imported: Boolean,
+    ) {
+        confined.launch { exports.settle(export, imported) }
+    }
+
+    override suspend fun ledger(): EngineLedger =
+        withContext(dispatcher) {
+            EngineLedger(
+                name = settings.name,
+                load = currentLoad(),
+                peakPieces = memory.peak,
+                held = heldIds(),
+                queuedPrefills = prefills.size,
+                waitingStreams = decoder.waitingStreams,
+                adapter = loader.loaded?.adapter,
+                highestFencing = loader.highestFencing,
+                orders = loader.orders,
+                counters = counters.copy(),
+            )
+        }
+
+    private suspend fun <T> call(block: suspend () -> T): T {
+        faults.outage.apply()
+        delay(faults.delayMs)
+        return withContext(dispatcher) { block() }
+    }
+
+    private fun serve(model: String) {
+        val loaded = loader.loaded ?: throw StandInFailure.notDone("weights are loading")
+        if (loaded.model != model) throw StandInFailure(CONFLICT, "wrong_model", "this engine serves ${loaded.model}")
+    }
+
+    private fun unload() {
+        decoder.endAll { it.writeFailure("unloaded", "the engine changes its model") }
+        prefills.ids.forEach { id ->
+            prefills.cancel(id, StandInFailure.notDone("the engine changes its model"))
+            memory.free(id)
+        }
+        imports.cancelAll()
+        exports.dropAll()
+        memory.owners.toList().forEach(memory::free)
+        cache.clear()
+    }
+
+    private fun heldIds(): List<String> = (memory.owners + prefills.ids + decoder.ids).toList()
+
+    private suspend fun reportLoad() {
+        var sampled = currentLoad()
+        while (true) {
+            delay(timeScale.loadLagMs)
+            reportedLoad = sampled
+            sampled = currentLoad()
+        }
+    }
+
+    private fun currentLoad(): EngineLoad {
+        val loaded = loader.loaded
+        return EngineLoad(
+            slots = settings.slots,
+            usedSlots = decoder.usedSlots,
+            pieces = settings.pieces,
+            usedPieces = memory.used,
+            pieceTokens = settings.pieceTokens,
+            model = loaded?.model.orEmpty(),
+            version = loaded?.version.orEmpty(),
+            role = loaded?.role ?: settings.role,
+        )
+    }
+
+    private companion object {
+        const val CONFLICT = 409
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/KvExports.kt
@@ -0,0 +1,82 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.api.KvHandle
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/** Exported KV caches of one engine; evicted after a short time unless imported. */
+internal class KvExports(
+    private val engineName: String,
+    private val ttlMs: Long,
+    private val scope: CoroutineScope,
+    private val memory: MemoryPool,
+    private val counters: EngineCounters,
+) {
+    private val exports = LinkedHashMap<KvHandle, KvExport>()
+    private var nextNumber = 0L
+
+    fun publish(
+        id: String,
+        tokens: Int,
+        computedTokens: Int,
+    ): KvExport {
+        val export = KvExport(KvHandle("$engineName-${nextNumber++}"), id, tokens, computedTokens)
+        exports[export.handle] = export
+        expireLater(export)
+        return export
+    }
+
+    fun ofRequest(id: String): KvExport? = exports.values.find { it.id == id }
+
+    /** Starts a transfer; null if the cache is gone. */
+    fun claim(handle: KvHandle): KvExport? {
+        val export = exports[handle] ?: return null
+        export.transfers++
+        export.expiry?.cancel()
+        return export
+    }
+
+    /** Ends a transfer that [claim] started. */
+    fun settle(
+        export: KvExport,
+        imported: Boolean,
+    ) {
+        export.transfers--
+        if (exports[export.handle] !== export) return
+        if (imported) {
+            counters.importedExports++
+            remove(export)
+        } else if (export.transfers == 0) {
+            expireLater(export)
+        }
+    }
+
+    /** Drops a cache that nobody imported. */
+    fun drop(export: KvExport) {
+        if (exports[export.handle] !== export) return
+        counters.wastedPrefills++
+        counters.wastedPrefillTokens += export.computedTokens
+        remove(export)
+    }
+
+    fun drop(handle: KvHandle) {
+        exports[handle]?.let(::drop)
+    }
+
+    fun dropAll() = exports.values.toList().forEach(::drop)
+
+    private fun remove(export: KvExport) {
+        export.expiry?.cancel()
+        exports -= export.handle
+        memory.free(export.id)
+    }
+
+    private fun expireLater(export: KvExport) {
+        export.expiry =
+            scope.launch {
+                delay(ttlMs)
+                drop(export)
+            }
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/LoadedModel.kt
@@ -0,0 +1,9 @@
+package io.knapweedferry.testing.standin.engine
+
+/** What an engine serves. */
+internal data class LoadedModel(
+    val model: String,
+    val version: String,
+    val adapter: String?,
+    val role: String,
+)
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/MemoryPool.kt
@@ -0,0 +1,41 @@
+package io.knapweedferry.testing.standin.engine
+
+/** Memory pieces of one engine and the requests that hold them. */
+internal class MemoryPool(
+    val pieces: Int,
+    val pieceTokens: Int,
+) {
+    private val held = LinkedHashMap<String, Int>()
+
+    var used = 0
+        private set
+
+    var peak = 0
+        private set
+
+    val owners: Set<String> get() = held.keys
+
+    /** Called when pieces become free. */
+    var onFreed: () -> Unit = {}
+
+    /** Lets [owner] hold enough for [tokens] in all; changes nothing if that does not fit. */
+    fun tryHold(
+        owner: String,
+        tokens: Int,
+    ): Boolean {
+        val needed = (tokens + pieceTokens - 1) / pieceTokens
+        val more = needed - (held[owner] ?: 0)
+        if (more <= 0) return true
+        if (used + more > pieces) return false
+        held[owner] = needed
+        used += more
+        peak = maxOf(peak, used)
+        return true
+    }
+
+    fun free(owner: String) {
+        val freed = held.remove(owner) ?: return
+        used -= freed
+        onFreed()
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/PrefillQueue.kt
@@ -0,0 +1,114 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.testing.standin.settings.TimeScale
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Prefills one chunk at a time, the most urgent first, so that a long prompt delays urgent work by one chunk at most. */
+internal class PrefillQueue(
+    private val timeScale: TimeScale,
+    private val memory: MemoryPool,
+    private val cache: PrefixCache,
+    private val counters: EngineCounters,
+    private val slowFactor: () -> Double,
+) {
+    private val pending = mutableListOf<PrefillJob>()
+    private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+    private var nextSequence = 0L
+
+    var active = false
+        private set
+
+    val size: Int get() = pending.size
+
+    val ids: List<String> get() = pending.map { it.id }
+
+    /** Queues a prefill and suspends until the memory of [id] holds the cache; returns the tokens that needed no computing. */
+    suspend fun run(
+        id: String,
+        prompt: String,
+        totalTokens: Int,
+        knownTokens: Int?,
+        priority: Int,
+    ): Int {
+        val job = PrefillJob(id, prompt, totalTokens, knownTokens, priority, nextSequence++)
+        pending += job
+        wake()
+        try {
+            return job.done.await()
+        } catch (e: CancellationException) {
+            abandon(job)
+            throw e
+        }
+    }
+
+    fun wake() {
+        wakeUps.trySend(Unit)
+    }
+
+    fun has(id: String): Boolean = pending.any { it.id == id }
+
+    /** Ends the prefill of [id] with [cause]. */
+    fun cancel(
+        id: String,
+        cause: Throwable,
+    ) {
+        val job = pending.find { it.id == id } ?: return
+        abandon(job)
+        job.done.completeExceptionally(cause)
+    }
+
+    /** Serves the queue until cancelled. */
+    suspend fun serve() {
+        for (signal in wakeUps) {
+            while (true) computeChunk(next() ?: break)
+        }
+    }
+
+    private fun next(): PrefillJob? =
+        pending
+            .sortedWith(compareBy<PrefillJob> { it.priority }.thenBy { it.sequence })
+            .firstOrNull { memory.tryHold(it.id, it.totalTokens) }
+
+    private suspend fun computeChunk(job: PrefillJob) {
+        val left = job.leftTokens ?: start(job)
+        val chunk = minOf(left, CHUNK_TOKENS)
+        active = true
+        delay((chunk * timeScale.prefillMsPer1000Tokens / THOUSAND * slowFactor()).milliseconds)
+        active = false
+        counters.prefilledTokens += chunk
+        job.computedTokens += chunk
+        job.leftTokens = left - chunk
+        if (job !in pending) {
+            counters.wastedPrefillTokens += chunk
+            return
+        }
+        if (left == chunk) finish(job)
+    }
+
+    private fun start(job: PrefillJob): Int {
+        job.cachedTokens = job.knownTokens ?: cache.cachedTokens(job.prompt)
+        counters.prefills++
+        counters.cachedTokens += job.cachedTokens
+        return job.totalTokens - job.cachedTokens
+    }
+
+    private fun finish(job: PrefillJob) {
+        pending -= job
+        cache.add(job.prompt)
+        job.done.complete(job.cachedTokens)
+    }
+
+    private fun abandon(job: PrefillJob) {
+        if (!pending.remove(job) || job.leftTokens == null) return
+        counters.wastedPrefills++
+        counters.wastedPrefillTokens += job.computedTokens
+    }
+
+    private companion object {
+        const val CHUNK_TOKENS = 2_048
+        const val THOUSAND = 1_000.0
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/StandInServer.kt
@@ -0,0 +1,57 @@
+package io.knapweedferry.testing.standin.http
+
+import io.javalin.Javalin
+import io.javalin.compression.CompressionStrategy
+import io.javalin.config.RoutesConfig
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+/** One HTTP server for all stand-ins of the process, with one listening port each and a shared thread pool. */
+internal class StandInServer(
+    private val host: String,
+    private val ports: List<Int>,
+    private val register: (RoutesConfig) -> Unit,
+) : AutoCloseable {
+    private val javalin =
+        Javalin.create { config ->
+            config.startup.showJavalinBanner = false
+            config.startup.showOldJavalinVersionWarning = false
+            config.http.maxRequestSize = MAX_REQUEST_BYTES
+            config.http.compressionStrategy = CompressionStrategy.NONE
+            config.jetty.threadPool = QueuedThreadPool(ports.size * THREADS_PER_PORT + HANDLER_THREADS, HANDLER_THREADS)
+            ports.forEach { port -> config.jetty.addConnector { server, http -> connector(server, http, port) } }
+            register(config.routes)
+        }
+
+    fun start() {
+        javalin.start()
+    }
+
+    override fun close() {
+        javalin.stop()
+    }
+
+    private fun connector(
+        server: Server,
+        http: HttpConfiguration,
+        listenPort: Int,
+    ) = ServerConnector(server, 0, 1, HttpConnectionFactory(http)).apply {
+        host = this@StandInServer.host
+        port = listenPort
+        idleTimeout = IDLE_TIMEOUT_MS
+    }
+
+    private companion object {
+        const val MAX_REQUEST_BYTES = 16L * 1024 * 1024
+        const val HANDLER_THREADS = 16
+
+        /** One selector and one thread that may wait in it. */
+        const val THREADS_PER_PORT = 2
+
+        /** Longer than any silence that a stand-in keeps on purpose. */
+        const val IDLE_TIMEOUT_MS = 600_000L
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/log/RecordStream.kt
@@ -0,0 +1,50 @@
+package io.knapweedferry.testing.standin.log
+
+import io.knapweedferry.platform.log.LogPage
+import io.knapweedferry.platform.log.LogRecord
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Records of one stream, in memory. */
+internal class RecordStream(
+    private val retentionMs: Long,
+    private val nowMs: () -> Long,
+) {
+    private val lock = Any()
+    private val records = ArrayDeque<LogRecord>()
+    private val next = MutableStateFlow(0L)
+
+    val nextOffset: Long get() = next.value
+
+    fun append(payloads: List<String>): Long =
+        synchronized(lock) {
+            val first = next.value
+            val atMs = nowMs()
+            payloads.forEachIndexed { index, payload -> records += LogRecord(first + index, atMs, payload) }
+            next.value = first + payloads.size
+            first
+        }
+
+    suspend fun read(
+        fromOffset: Long,
+        maxRecords: Int,
+        waitMs: Long,
+    ): LogPage {
+        if (waitMs > 0) withTimeoutOrNull(waitMs) { next.first { it > fromOffset } }
+        return page(fromOffset, maxRecords)
+    }
+
+    private fun page(
+        fromOffset: Long,
+        maxRecords: Int,
+    ): LogPage =
+        synchronized(lock) {
+            val now = nowMs()
+            while (records.isNotEmpty() && records.first().atMs < now - retentionMs) records.removeFirst()
+            val firstOffset = records.firstOrNull()?.offset ?: next.value
+            val skip = (fromOffset - firstOffset).coerceIn(0L, records.size.toLong()).toInt()
+            val count = maxRecords.coerceIn(0, records.size - skip)
+            LogPage(firstOffset, next.value, now, records.subList(skip, skip + count).toList())
+        }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceFaults.kt
@@ -0,0 +1,15 @@
+package io.knapweedferry.testing.standin.service
+
+import io.knapweedferry.testing.standin.http.Outage
+import kotlinx.serialization.Serializable
+
+/** Switchable faults of a plain service. */
+@Serializable
+internal data class ServiceFaults(
+    /** Fault before the operation has its effect. */
+    val outage: Outage = Outage.NONE,
+    /** Fault after the operation had its effect. */
+    val outageAfterEffect: Outage = Outage.NONE,
+    /** Added to the duration of each operation. */
+    val delayMs: Long = 0,
+)
