--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandInAnswer.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandInAnswer.kt
@@ -28,9 +28,9 @@
 
     // Finalizer of SplitMix64: neighbouring positions get unrelated texts.
     private fun mix(value: Long): Long {
-        val first = (value xor (value ushr 30)) * -0x40a7b892e31b1a47L
-        val second = (first xor (first ushr 27)) * -0x6b2fb644ecceee15L
-        return second xor (second ushr 31)
+        val first = (value xor (value ushr MIX_SHIFT_1)) * MIX_FACTOR_1
+        val second = (first xor (first ushr MIX_SHIFT_2)) * MIX_FACTOR_2
+        return second xor (second ushr MIX_SHIFT_3)
     }
 
     public companion object {
@@ -41,6 +41,11 @@
         private const val SPREAD = 200L
         private const val TEXT_SHIFT = 44
         private const val RADIX = 36
+        private const val MIX_SHIFT_1 = 30
+        private const val MIX_SHIFT_2 = 27
+        private const val MIX_SHIFT_3 = 31
+        private const val MIX_FACTOR_1 = -0x40a7b892e31b1a47L
+        private const val MIX_FACTOR_2 = -0x6b2fb644ecceee15L
 
         /** Number of tokens of a prompt. */
         public fun promptTokens(prompt: String): Int = (prompt.length + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandIns.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandIns.kt
@@ -11,6 +11,7 @@
 import io.knapweedferry.testing.standin.engine.EngineDirectory
 import io.knapweedferry.testing.standin.engine.EngineRoutes
 import io.knapweedferry.testing.standin.engine.EngineStandIn
+import io.knapweedferry.testing.standin.engine.EngineSurroundings
 import io.knapweedferry.testing.standin.http.Admin
 import io.knapweedferry.testing.standin.http.AdminRoutes
 import io.knapweedferry.testing.standin.http.Calls
@@ -41,7 +42,14 @@
     private val log = settings.log?.let { LogStandIn(it, settings.seed) }
     private val instanceList = settings.instanceList?.let { InstanceListStandIn(it.lagMs, settings.instances.map(::listed)) }
     private val weightStore = settings.weightStore?.let { WeightStoreStandIn(it.rateBytesPerSecond, settings.weights) }
-    private val directory = EngineDirectory(settings.links, settings.timeScale, TimeSource.Monotonic)
+    private val surroundings =
+        EngineSurroundings(
+            timeScale = settings.timeScale,
+            directory = EngineDirectory(settings.links, settings.timeScale, TimeSource.Monotonic),
+            weights = weightStore,
+            seed = settings.seed,
+            scope = scope,
+        )
     private val engines = settings.engines.associate { it.port to engine(it) }
     private val services = settings.services.associate { it.port to ServiceStandIn(it) }
     private val server = StandInServer(settings.host, admins().keys.toList(), ::register)
@@ -74,10 +82,7 @@
 
     private fun engine(engine: EngineSettings): EngineStandIn {
         val url = engine.url.ifEmpty { "http://${settings.host}:${engine.port}" }
-        val seed = settings.seed + engine.name.hashCode()
-        val dispatcher = Dispatchers.Default.limitedParallelism(1)
-        return EngineStandIn(engine, url, settings.timeScale, directory, weightStore, seed, scope, dispatcher)
-            .also(directory::add)
+        return EngineStandIn(engine, url, surroundings).also(surroundings.directory::add)
     }
 
     private fun listed(instance: InstanceSettings): ListedInstance =
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/Decoder.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/Decoder.kt
@@ -4,6 +4,7 @@
 import io.knapweedferry.testing.standin.settings.TimeScale
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlin.time.Duration
@@ -70,7 +71,7 @@
 
     /** Runs the batch until cancelled. */
     suspend fun serve() {
-        for (signal in wakeUps) runBatch()
+        wakeUps.consumeEach { runBatch() }
     }
 
     private suspend fun runBatch() {
@@ -147,7 +148,7 @@
         parts.counters.reattachedStreams++
         stream.sink?.cut()
         stream.sink = sink
-        (fromPosition until stream.position).forEach(stream::writeToken)
+        for (position in fromPosition until stream.position) stream.writeToken(position)
     }
 
     private fun finish(stream: DecodeStream) {
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
@@ -14,56 +14,54 @@
 import io.knapweedferry.testing.standin.http.LostAnswer
 import io.knapweedferry.testing.standin.http.StandInFailure
 import io.knapweedferry.testing.standin.settings.EngineSettings
-import io.knapweedferry.testing.standin.settings.TimeScale
-import io.knapweedferry.testing.standin.weight.WeightStoreStandIn
-import kotlinx.coroutines.CoroutineDispatcher
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
-import kotlin.time.TimeSource
 
 /**
- * Model engine that computes nothing but takes the time and memory of a real one. All its state is confined to
- * [dispatcher], which runs one task at a time.
+ * Model engine that computes nothing but takes the time and memory of a real one. All its state is confined to a
+ * dispatcher that runs one task at a time.
  */
 internal class EngineStandIn(
     private val settings: EngineSettings,
     val url: String,
-    private val timeScale: TimeScale,
-    directory: EngineDirectory,
-    weights: WeightStoreStandIn?,
-    seed: Long,
-    scope: CoroutineScope,
-    private val dispatcher: CoroutineDispatcher,
-    timeSource: TimeSource = TimeSource.Monotonic,
+    private val surroundings: EngineSurroundings,
 ) : Admin<EngineFaults, EngineLedger> {
-    private val confined = scope + dispatcher
+    private val dispatcher = surroundings.dispatcher()
+    private val confined = surroundings.scope + dispatcher
+    private val timeScale = surroundings.timeScale
+    private val timeSource = surroundings.timeSource
     private val counters = EngineCounters()
     private val memory = MemoryPool(settings.pieces, settings.pieceTokens)
-    private val events = CacheEventFeed(timeScale.cacheEventLagMs, timeScale.cacheEventLoss, Random(seed), timeSource)
+    private val events =
+        CacheEventFeed(
+            timeScale.cacheEventLagMs,
+            timeScale.cacheEventLoss,
+            Random(
+                surroundings.seed + settings.name.hashCode(),
+            ),
+            timeSource,
+        )
     private val cache = PrefixCache(settings.prefixCacheTokens, events::add)
     private val prefills = PrefillQueue(timeScale, memory, cache, counters) { faults.slowFactor }
     private val exports = KvExports(settings.name, timeScale.exportTtlMs, confined, memory, counters)
-    private val imports = KvImports(this, directory, confined, memory, counters)
+    private val imports = KvImports(this, surroundings.directory, confined, memory, counters)
     private val decoder =
         Decoder(settings.slots, timeScale, confined, timeSource, DecoderParts(memory, prefills, imports, counters) { faults })
     private val loader =
         ModelLoader(
-            LoadedModel(settings.model, settings.version, null, settings.role),
-            settings.checksFencing,
+            settings,
             timeScale.adapterLoadMs,
-            weights,
+            surroundings.weights,
             confined,
             counters,
             ::unload,
         )
 
-    @Volatile
-    private var reportedLoad = currentLoad()
+    private val loadReport = LoadReport(settings, timeScale.loadLagMs, memory, decoder, loader)
 
     @Volatile
     override var faults = EngineFaults()
@@ -76,7 +74,7 @@
         memory.onFreed = prefills::wake
         confined.launch { prefills.serve() }
         confined.launch { decoder.serve() }
-        confined.launch { reportLoad() }
+        confined.launch { loadReport.serve() }
     }
 
     suspend fun prefill(order: PrefillOrder): PrefillResult =
@@ -128,7 +126,7 @@
 
     suspend fun held(): List<String> = call { heldIds() }
 
-    suspend fun load(): EngineLoad = call { reportedLoad }
+    suspend fun load(): EngineLoad = call { loadReport.reported }
 
     suspend fun cacheEvents(after: Long): List<CacheEvent> = call { events.after(after) }
 
@@ -160,7 +158,7 @@
         withContext(dispatcher) {
             EngineLedger(
                 name = settings.name,
-                load = currentLoad(),
+                load = loadReport.current(),
                 peakPieces = memory.peak,
                 held = heldIds(),
                 queuedPrefills = prefills.size,
@@ -197,29 +195,6 @@
 
     private fun heldIds(): List<String> = (memory.owners + prefills.ids + decoder.ids).toList()
 
-    private suspend fun reportLoad() {
-        var sampled = currentLoad()
-        while (true) {
-            delay(timeScale.loadLagMs)
-            reportedLoad = sampled
-            sampled = currentLoad()
-        }
-    }
-
-    private fun currentLoad(): EngineLoad {
-        val loaded = loader.loaded
-        return EngineLoad(
-            slots = settings.slots,
-            usedSlots = decoder.usedSlots,
-            pieces = settings.pieces,
-            usedPieces = memory.used,
-            pieceTokens = settings.pieceTokens,
-            model = loaded?.model.orEmpty(),
-            version = loaded?.version.orEmpty(),
-            role = loaded?.role ?: settings.role,
-        )
-    }
-
     private companion object {
         const val CONFLICT = 409
     }
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineSurroundings.kt
@@ -0,0 +1,20 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.testing.standin.settings.TimeScale
+import io.knapweedferry.testing.standin.weight.WeightStoreStandIn
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlin.time.TimeSource
+
+/** What the engines of one process share. */
+internal class EngineSurroundings(
+    val timeScale: TimeScale,
+    val directory: EngineDirectory,
+    val weights: WeightStoreStandIn?,
+    val seed: Long,
+    val scope: CoroutineScope,
+    val timeSource: TimeSource = TimeSource.Monotonic,
+    /** Returns a dispatcher that runs one task at a time. */
+    val dispatcher: () -> CoroutineDispatcher = { Dispatchers.Default.limitedParallelism(1) },
+)
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/KvImports.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/KvImports.kt
@@ -26,11 +26,7 @@
         if (!memory.tryHold(id, request.source.promptTokens)) throw StandInFailure.notDone("no free memory")
         val transfer = scope.async { transfer(request) }
         inProgress[id] = transfer
-        transfer.join()
-        if (transfer.isCancelled) throw StandInFailure(CONFLICT, "cancelled", "the import was cancelled or replaced by a newer one")
-        val failure = transfer.await()
-        if (inProgress[id] === transfer) settle(id, failure)
-        failure?.let { throw it }
+        failureOf(id, transfer)?.let { throw it }
     }
 
     /** Takes the imported cache of [id] for its generation. */
@@ -47,6 +43,15 @@
         ready.clear()
     }
 
+    private suspend fun failureOf(
+        id: String,
+        transfer: Deferred<StandInFailure?>,
+    ): StandInFailure? {
+        transfer.join()
+        if (transfer.isCancelled) return StandInFailure(CONFLICT, "cancelled", "the import was cancelled or replaced by a newer one")
+        return transfer.await().also { if (inProgress[id] === transfer) settle(id, it) }
+    }
+
     private fun settle(
         id: String,
         failure: StandInFailure?,
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/LoadReport.kt
@@ -0,0 +1,42 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.platform.engine.EngineLoad
+import io.knapweedferry.testing.standin.settings.EngineSettings
+import kotlinx.coroutines.delay
+
+/** Load of one engine as it reports it: between one and two periods old. */
+internal class LoadReport(
+    private val settings: EngineSettings,
+    private val periodMs: Long,
+    private val memory: MemoryPool,
+    private val decoder: Decoder,
+    private val loader: ModelLoader,
+) {
+    var reported: EngineLoad = current()
+        private set
+
+    /** Takes samples until cancelled. */
+    suspend fun serve() {
+        var sampled = current()
+        while (true) {
+            delay(periodMs)
+            reported = sampled
+            sampled = current()
+        }
+    }
+
+    /** Load without lag. */
+    fun current(): EngineLoad {
+        val loaded = loader.loaded
+        return EngineLoad(
+            slots = settings.slots,
+            usedSlots = decoder.usedSlots,
+            pieces = settings.pieces,
+            usedPieces = memory.used,
+            pieceTokens = settings.pieceTokens,
+            model = loaded?.model.orEmpty(),
+            version = loaded?.version.orEmpty(),
+            role = loaded?.role ?: settings.role,
+        )
+    }
+}
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/ModelLoader.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/ModelLoader.kt
@@ -2,6 +2,7 @@
 
 import io.knapweedferry.platform.engine.EngineOrder
 import io.knapweedferry.testing.standin.http.StandInFailure
+import io.knapweedferry.testing.standin.settings.EngineSettings
 import io.knapweedferry.testing.standin.weight.WeightStoreStandIn
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -10,8 +11,7 @@
 
 /** Carries out orders; weights arrive at the rate of the weight store while the engine serves nothing. */
 internal class ModelLoader(
-    initial: LoadedModel,
-    private val checksFencing: Boolean,
+    private val settings: EngineSettings,
     private val adapterLoadMs: Long,
     private val weights: WeightStoreStandIn?,
     private val scope: CoroutineScope,
@@ -20,10 +20,10 @@
 ) {
     private val accepted = ArrayDeque<EngineOrder>()
     private var loading: Job? = null
-    private var wanted = initial
+    private var wanted = LoadedModel(settings.model, settings.version, null, settings.role)
 
     /** What the engine serves now; null while weights load. */
-    var loaded: LoadedModel? = initial
+    var loaded: LoadedModel? = wanted
         private set
 
     var highestFencing = Long.MIN_VALUE
@@ -48,7 +48,7 @@
     private fun check(order: EngineOrder) {
         val failure =
             when {
-                checksFencing && order.fencing < highestFencing ->
+                settings.checksFencing && order.fencing < highestFencing ->
                     StandInFailure(CONFLICT, "stale_fencing", "fencing ${order.fencing} is older than $highestFencing")
                 weights != null && !weights.has(order.model, order.version) ->
                     StandInFailure.notFound("no weights of ${order.model} version ${order.version}")
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/NdjsonSink.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/NdjsonSink.kt
@@ -65,7 +65,8 @@
         if (done.isDone) return
         try {
             while (out.isReady && (pending.size() > 0 || unflushed)) writeOrFlush(out)
-            if (ended && pending.size() == 0 && !unflushed && out.isReady) done.complete(Unit)
+            val written = pending.size() == 0 && !unflushed
+            if (ended && written && out.isReady) done.complete(Unit)
         } catch (_: IOException) {
             broken()
         }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/PrefillQueue.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/PrefillQueue.kt
@@ -3,6 +3,7 @@
 import io.knapweedferry.testing.standin.settings.TimeScale
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.consumeEach
 import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -62,7 +63,7 @@
 
     /** Serves the queue until cancelled. */
     suspend fun serve() {
-        for (signal in wakeUps) {
+        wakeUps.consumeEach {
             while (true) computeChunk(next() ?: break)
         }
     }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/Outage.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/Outage.kt
@@ -22,13 +22,15 @@
     ;
 
     suspend fun apply() {
-        when (this) {
-            NONE -> return
-            REFUSE -> throw StandInFailure.notDone("outage")
-            ERROR -> throw StandInFailure(INTERNAL_ERROR, "internal", "outage")
-            SILENT -> silence()
-            CUT -> throw LostAnswer()
-        }
+        val failure =
+            when (this) {
+                NONE -> return
+                REFUSE -> StandInFailure.notDone("outage")
+                ERROR -> StandInFailure(INTERNAL_ERROR, "internal", "outage")
+                SILENT -> silence()
+                CUT -> LostAnswer()
+            }
+        throw failure
     }
 
     companion object {
