--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandIns.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandIns.kt
@@ -22,7 +22,6 @@
 import io.knapweedferry.testing.standin.log.LogStandIn
 import io.knapweedferry.testing.standin.service.ServiceRoutes
 import io.knapweedferry.testing.standin.service.ServiceStandIn
-import io.knapweedferry.testing.standin.settings.EngineSettings
 import io.knapweedferry.testing.standin.settings.InstanceSettings
 import io.knapweedferry.testing.standin.settings.StandInsSettings
 import io.knapweedferry.testing.standin.weight.WeightRoutes
@@ -50,12 +49,21 @@
             seed = settings.seed,
             scope = scope,
         )
-    private val engines = settings.engines.associate { it.port to engine(it) }
-    private val services = settings.services.associate { it.port to ServiceStandIn(it) }
-    private val server = StandInServer(settings.host, admins().keys.toList(), ::register)
+    private val engines = settings.engines.associate { it.name to EngineStandIn(it, surroundings) }
+    private val services = settings.services.associate { it.name to ServiceStandIn(it) }
+    private val server = StandInServer(settings.host, ports(), ::register)
 
     /** Returns when all ports listen. */
-    public fun start(): Unit = server.start()
+    public fun start() {
+        server.start()
+        engines.forEach { (name, engine) ->
+            if (engine.url.isEmpty()) engine.url = url(name)
+            surroundings.directory.add(engine)
+        }
+    }
+
+    /** Base URL of a stand-in: `log`, `instance_list`, `weight_store`, or the name of an engine or service. */
+    public fun url(name: String): String = "http://${settings.host}:${server.port(name)}"
 
     override fun close() {
         scope.cancel()
@@ -71,18 +79,24 @@
         AdminRoutes(calls, admins()).register(routes)
     }
 
-    private fun admins(): Map<Int, Admin<*, *>> =
+    private fun admins(): Map<String, Admin<*, *>> =
         buildMap {
-            log?.let { put(settings.log!!.port, it) }
-            instanceList?.let { put(settings.instanceList!!.port, it) }
-            weightStore?.let { put(settings.weightStore!!.port, it) }
+            log?.let { put(LOG, it) }
+            instanceList?.let { put(INSTANCE_LIST, it) }
+            weightStore?.let { put(WEIGHT_STORE, it) }
             putAll(engines)
             putAll(services)
         }
 
-    private fun engine(engine: EngineSettings): EngineStandIn {
-        val url = engine.url.ifEmpty { "http://${settings.host}:${engine.port}" }
-        return EngineStandIn(engine, url, surroundings).also(surroundings.directory::add)
+    private fun ports(): Map<String, Int> {
+        val named =
+            listOfNotNull(
+                settings.log?.let { LOG to it.port },
+                settings.instanceList?.let { INSTANCE_LIST to it.port },
+                settings.weightStore?.let { WEIGHT_STORE to it.port },
+            ) + settings.engines.map { it.name to it.port } + settings.services.map { it.name to it.port }
+        require(named.distinctBy { it.first }.size == named.size) { "names of stand-ins are not unique; rename engines or services" }
+        return named.toMap()
     }
 
     private fun listed(instance: InstanceSettings): ListedInstance =
@@ -95,4 +109,10 @@
                 instance.engines.map { ListedEndpoint(EndpointId(it), EndpointKind.ENGINE) } +
                     instance.services.map { ListedEndpoint(EndpointId(it), EndpointKind.SERVICE) },
         )
+
+    private companion object {
+        const val LOG = "log"
+        const val INSTANCE_LIST = "instance_list"
+        const val WEIGHT_STORE = "weight_store"
+    }
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineRoutes.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineRoutes.kt
@@ -20,7 +20,7 @@
 /** HTTP side of all [EngineStandIn]s, chosen by the port of the request. */
 internal class EngineRoutes(
     private val calls: Calls,
-    private val engines: Map<Int, EngineStandIn>,
+    private val engines: Map<String, EngineStandIn>,
 ) {
     fun register(routes: RoutesConfig) {
         post(routes, "/prefill", PrefillOrder.serializer(), PrefillResult.serializer(), EngineStandIn::prefill)
@@ -85,5 +85,5 @@
     }
 
     private fun engine(context: Context): EngineStandIn =
-        engines[context.req().localPort] ?: throw StandInFailure.notFound("no engine on port ${context.req().localPort}")
+        engines[Calls.standIn(context)] ?: throw StandInFailure.notFound("no engine on this port")
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
@@ -27,7 +27,6 @@
  */
 internal class EngineStandIn(
     private val settings: EngineSettings,
-    val url: String,
     private val surroundings: EngineSurroundings,
 ) : Admin<EngineFaults, EngineLedger> {
     private val dispatcher = surroundings.dispatcher()
@@ -68,6 +67,10 @@
     override val faultsSerializer = EngineFaults.serializer()
     override val ledgerSerializer = EngineLedger.serializer()
 
+    /** Base URL that other engines reach this one at. */
+    @Volatile
+    var url: String = settings.url
+
     val linkName: String? get() = settings.link
 
     init {
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/AdminRoutes.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/AdminRoutes.kt
@@ -6,7 +6,7 @@
 /** Faults and ledger of every stand-in, chosen by the port of the request. */
 internal class AdminRoutes(
     private val calls: Calls,
-    private val admins: Map<Int, Admin<*, *>>,
+    private val admins: Map<String, Admin<*, *>>,
 ) {
     fun register(routes: RoutesConfig) {
         routes.get("/admin/faults") { context -> calls.answer(context) { faults(admin(context)) } }
@@ -18,7 +18,7 @@
     }
 
     private fun admin(context: Context): Admin<*, *> =
-        admins[context.req().localPort] ?: throw StandInFailure.notFound("no stand-in on this port")
+        admins[Calls.standIn(context)] ?: throw StandInFailure.notFound("no stand-in on this port")
 
     private fun <F : Any> faults(admin: Admin<F, *>): String = Calls.json.encodeToString(admin.faultsSerializer, admin.faults)
 
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/Calls.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/Calls.kt
@@ -68,6 +68,14 @@
             serializer: KSerializer<T>,
         ): T = json.decodeFromString(serializer, context.body())
 
+        /** Name of the stand-in whose port got the call. */
+        fun standIn(context: Context): String =
+            ServletContextRequest
+                .getServletContextRequest(context.req())
+                .connectionMetaData
+                .connector
+                .name
+
         /** Closes the connection of a call without an answer. */
         fun cut(context: Context) {
             ServletContextRequest
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/StandInServer.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/StandInServer.kt
@@ -3,6 +3,7 @@
 import io.javalin.Javalin
 import io.javalin.compression.CompressionStrategy
 import io.javalin.config.RoutesConfig
+import kotlinx.coroutines.CancellationException
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Server
@@ -12,7 +13,7 @@
 /** One HTTP server for all stand-ins of the process, with one listening port each and a shared thread pool. */
 internal class StandInServer(
     private val host: String,
-    private val ports: List<Int>,
+    private val ports: Map<String, Int>,
     private val register: (RoutesConfig) -> Unit,
 ) : AutoCloseable {
     private val javalin =
@@ -22,7 +23,9 @@
             config.http.maxRequestSize = MAX_REQUEST_BYTES
             config.http.compressionStrategy = CompressionStrategy.NONE
             config.jetty.threadPool = QueuedThreadPool(ports.size * THREADS_PER_PORT + HANDLER_THREADS, HANDLER_THREADS)
-            ports.forEach { port -> config.jetty.addConnector { server, http -> connector(server, http, port) } }
+            ports.forEach { (name, port) -> config.jetty.addConnector { server, http -> connector(server, http, name, port) } }
+            // Calls that are open at the shutdown of the process end without an answer.
+            config.routes.exception(CancellationException::class.java) { _, _ -> }
             register(config.routes)
         }
 
@@ -30,6 +33,16 @@
         javalin.start()
     }
 
+    /** Port of the stand-in [name] after [start], also if the settings leave the choice to the system with 0. */
+    fun port(name: String): Int =
+        javalin
+            .jettyServer()
+            .server()
+            .connectors
+            .filterIsInstance<ServerConnector>()
+            .first { it.name == name }
+            .localPort
+
     override fun close() {
         javalin.stop()
     }
@@ -37,8 +50,11 @@
     private fun connector(
         server: Server,
         http: HttpConfiguration,
+        standIn: String,
         listenPort: Int,
     ) = ServerConnector(server, 0, 1, HttpConnectionFactory(http)).apply {
+        // Handlers find the stand-in by the name of the connector.
+        name = standIn
         host = this@StandInServer.host
         port = listenPort
         idleTimeout = IDLE_TIMEOUT_MS
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceRoutes.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceRoutes.kt
@@ -7,7 +7,7 @@
 /** HTTP side of all [ServiceStandIn]s, chosen by the port of the request. */
 internal class ServiceRoutes(
     private val calls: Calls,
-    private val services: Map<Int, ServiceStandIn>,
+    private val services: Map<String, ServiceStandIn>,
 ) {
     fun register(routes: RoutesConfig) {
         routes.post("/services/{service}/operations/{operation}") { context ->
@@ -18,9 +18,9 @@
                     key = context.header("Idempotency-Key"),
                     body = context.body(),
                 )
-            val port = context.req().localPort
+            val name = Calls.standIn(context)
             calls.answer(context) {
-                val service = services[port] ?: throw StandInFailure.notFound("no service on port $port")
+                val service = services[name] ?: throw StandInFailure.notFound("no service on this port")
                 Calls.json.encodeToString(ServiceAnswer.serializer(), service.execute(call))
             }
         }
