--- /dev/null
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/admission/RankedGateSpec.kt
@@ -0,0 +1,199 @@
+package io.knapweedferry.policy.admission
+
+import io.knapweedferry.api.OrganisationId
+import io.knapweedferry.api.Rank
+import io.knapweedferry.api.Rank.BACKGROUND
+import io.knapweedferry.api.Rank.STANDARD
+import io.knapweedferry.api.Rank.URGENT
+import io.knapweedferry.api.RefusalReason
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Guards against single wrong decisions of the gate: order, floors, refusals, displacement and preemption. */
+internal class RankedGateSpec {
+    private var nextId = 0
+
+    @Test
+    fun `urgent work passes lower ranks that wait`() {
+        val gate = gate(slots = 1)
+        gate.offer(ticket("a", BACKGROUND), 0)
+        listOf(ticket("b", BACKGROUND), ticket("s", STANDARD), ticket("u", URGENT)).forEach { gate.offer(it, 0) }
+        assertEquals(listOf("u", "s", "b"), listOf("a", "u", "s").flatMap { gate.release(TicketId(it), 1).names() })
+    }
+
+    @Test
+    fun `a flood of one organisation does not delay another of the same rank`() {
+        val gate = gate(slots = 1)
+        repeat(6) { gate.offer(ticket("flood$it", STANDARD, organisation = "big"), 0) }
+        gate.offer(ticket("small", STANDARD, organisation = "small"), 0)
+        assertEquals(listOf("flood1"), gate.release(TicketId("flood0"), 1).names())
+        assertEquals(listOf("small"), gate.release(TicketId("flood1"), 2).names())
+    }
+
+    @Test
+    fun `a lower rank below its floor goes before urgent work, and only up to the floor`() {
+        val gate = gate(slots = 10, floors = mapOf(BACKGROUND to 20))
+        repeat(10) { gate.offer(ticket("u$it", URGENT), 0) }
+        repeat(4) { gate.offer(ticket("b$it", BACKGROUND), 0) }
+        repeat(4) { gate.offer(ticket("v$it", URGENT), 0) }
+        assertEquals(listOf("b0", "b1", "v0", "v1"), (0..3).flatMap { gate.release(TicketId("u$it"), 0).names() })
+    }
+
+    @Test
+    fun `a floor smaller than one slot is met over time`() {
+        val gate = gate(slots = 1, floors = mapOf(BACKGROUND to 10))
+        repeat(10) { gate.observeServiceMs(100.0) }
+        var running = ticket("first", URGENT).also { gate.offer(it, 0) }.id
+        val granted = mutableListOf<Rank>()
+        repeat(4) { gate.offer(ticket("b$it", BACKGROUND), 0) }
+        for (turn in 1..30) {
+            gate.offer(ticket("u$turn", URGENT), turn * 100L)
+            running = gate.release(running, turn * 100L).granted.single()
+            granted += if (running.value.startsWith("b")) BACKGROUND else URGENT
+        }
+        assertEquals(3, granted.count { it == BACKGROUND }, "30 grants at a floor of 10 percent")
+    }
+
+    @Test
+    fun `a large ticket is passed by small ones only for a while`() {
+        val gate = gate(slots = 20, pieces = 20)
+        val running = ArrayDeque((0 until 20).map { TicketId("s$it") })
+        running.forEach { gate.offer(ticket(it.value, STANDARD), 0) }
+        gate.offer(ticket("large", STANDARD, pieces = 15, organisation = "other"), 0)
+        var passed = 0
+        while (true) {
+            gate.offer(ticket("n$passed", STANDARD), 1)
+            val granted = gate.release(running.removeFirst(), 1).granted
+            if (TicketId("large") in granted) break
+            running += granted
+            passed += granted.size
+        }
+        assertTrue(passed in 1..30, "passed by $passed small tickets")
+    }
+
+    @Test
+    fun `lower ranks use memory that a blocked urgent ticket cannot use, without delaying it`() {
+        val gate = gate(slots = 20, pieces = 100)
+        gate.offer(ticket("held", STANDARD, pieces = 60), 0)
+        gate.offer(ticket("u", URGENT, pieces = 70), 0)
+        assertEquals(listOf("b"), gate.offer(ticket("b", BACKGROUND, pieces = 30), 0).names())
+        assertEquals(emptyList<String>(), gate.offer(ticket("c", BACKGROUND, pieces = 5), 0).names())
+        assertEquals(listOf("u"), gate.release(TicketId("held"), 1).names())
+    }
+
+    @Test
+    fun `work that cannot start in time is refused on arrival, with a time to retry`() {
+        val gate = gate(slots = 2)
+        repeat(10) { gate.observeServiceMs(1_000.0) }
+        repeat(4) { gate.offer(ticket("h$it", STANDARD), 0) }
+        val refusal = gate.offer(ticket("late", STANDARD, grantByMs = 1_000), 0).refused.getValue(TicketId("late"))
+        assertEquals(RefusalReason.OVERLOADED, refusal.reason)
+        assertEquals(500, refusal.retryAfterMs, "two before it and itself at two a second, less the second it has")
+        assertTrue(gate.offer(ticket("patient", STANDARD, grantByMs = 1_500), 0).refused.isEmpty())
+        assertEquals(RefusalReason.DEADLINE, gate.expire(1_500).refused[TicketId("patient")]?.reason)
+        val arrivedLate = gate.offer(ticket("past", STANDARD, grantByMs = 1_500), 1_501)
+        assertEquals(RefusalReason.DEADLINE, arrivedLate.refused[TicketId("past")]?.reason)
+    }
+
+    @Test
+    fun `a more urgent arrival displaces the least urgent waiting ticket of a full queue`() {
+        val gate = gate(slots = 1, queueLimit = 2)
+        gate.offer(ticket("held", URGENT), 0)
+        gate.offer(ticket("b", BACKGROUND), 0)
+        gate.offer(ticket("s", STANDARD), 0)
+        val cases =
+            listOf(
+                ticket("u", URGENT) to "b",
+                ticket("v", URGENT) to "s",
+                ticket("w", URGENT) to "w",
+                ticket("c", BACKGROUND) to "c",
+            )
+        for ((arrival, displaced) in cases) {
+            val refused = gate.offer(arrival, 0).refused
+            assertEquals(setOf(TicketId(displaced)), refused.keys)
+            assertEquals(RefusalReason.QUEUE_FULL, refused.values.single().reason)
+        }
+    }
+
+    @Test
+    fun `an urgent flood leaves a lower rank its share of places in the queue`() {
+        val gate = gate(slots = 1, queueLimit = 20, floors = mapOf(BACKGROUND to 10))
+        gate.offer(ticket("held", URGENT), 0)
+        repeat(5) { gate.offer(ticket("b$it", BACKGROUND), 0) }
+        repeat(50) { gate.offer(ticket("u$it", URGENT), 0) }
+        assertEquals(2, gate.load(0).queuedBackground)
+    }
+
+    @Test
+    fun `late urgent work takes the newest places of the lowest rank and leaves its floor`() {
+        val gate = gate(slots = 5, floors = mapOf(BACKGROUND to 40))
+        repeat(10) { gate.observeServiceMs(10_000.0) }
+        repeat(4) { gate.offer(ticket("b$it", BACKGROUND), 0) }
+        gate.offer(ticket("s", STANDARD), 0)
+        assertEquals(listOf("b3"), gate.offer(ticket("u0", URGENT, grantByMs = 500), 0).preemptedNames())
+        assertEquals(emptyList<String>(), gate.expire(1).preemptedNames(), "the same ticket must not cost a second holder")
+        assertEquals(listOf("b2"), gate.offer(ticket("u1", URGENT, grantByMs = 500), 2).preemptedNames())
+        val refused = gate.offer(ticket("u2", URGENT, grantByMs = 500), 3)
+        assertEquals(emptyList<String>(), refused.preemptedNames(), "two of five slots are the floor")
+        assertEquals(RefusalReason.OVERLOADED, refused.refused[TicketId("u2")]?.reason)
+        assertEquals(listOf("u0"), gate.release(TicketId("b3"), 4).names())
+        assertEquals(listOf("u1"), gate.release(TicketId("b2"), 4).names())
+    }
+
+    @Test
+    fun `preemption spares small holders when a larger one suffices`() {
+        val gate = gate(slots = 10, pieces = 12)
+        repeat(10) { gate.observeServiceMs(10_000.0) }
+        listOf(2, 8, 1, 1).forEachIndexed { index, pieces -> gate.offer(ticket("b$index", BACKGROUND, pieces), 0) }
+        assertEquals(listOf("b1"), gate.offer(ticket("u", URGENT, pieces = 8, grantByMs = 100), 0).preemptedNames())
+    }
+
+    @Test
+    fun `preemption is considered again when waiting has used up the time`() {
+        val gate = gate(slots = 2)
+        repeat(10) { gate.observeServiceMs(200.0) }
+        repeat(2) { gate.offer(ticket("b$it", BACKGROUND), 0) }
+        assertFalse(gate.offer(ticket("u", URGENT, grantByMs = 500), 0).preemptedNames().isNotEmpty())
+        assertEquals(350, gate.nextDeadlineMs(), "100 ms of expected wait and 50 ms for the preemption before the deadline")
+        assertEquals(listOf("b1"), gate.expire(350).preemptedNames())
+    }
+
+    @Test
+    fun `the batch shrinks when it breaks the token target and grows back slowly`() {
+        val gate = gate(slots = 20, interTokenTargetMs = 25.0)
+        repeat(20) { gate.offer(ticket("h$it", STANDARD), 0) }
+        repeat(16 * 20) { gate.observeInterTokenMs(40.0) }
+        repeat(16 * 20) { gate.observeInterTokenMs(40.0) }
+        gate.offer(ticket("waiting", STANDARD), 0)
+        val released = (0 until 20).takeWhile { gate.release(TicketId("h$it"), 1).granted.isEmpty() }.size
+        assertEquals(8, released, "20 * 25 / 40 rounds down to 12, and tokens of the former batch do not lower it again")
+        gate.offer(ticket("next", STANDARD), 2)
+        repeat(16 * 12 * 3) { gate.observeInterTokenMs(15.0) }
+        assertTrue(gate.expire(3).granted.isEmpty())
+        repeat(16 * 12) { gate.observeInterTokenMs(15.0) }
+        assertEquals(listOf("next"), gate.expire(3).names())
+        assertEquals(0, gate.load(3).freeSlots)
+    }
+
+    private fun gate(
+        slots: Int,
+        pieces: Int = 100,
+        queueLimit: Int = 100,
+        floors: Map<Rank, Int> = emptyMap(),
+        interTokenTargetMs: Double? = null,
+    ) = RankedGate(GateLimits(slots, pieces, queueLimit), RankedGateSettings(floors, interTokenTargetMs))
+
+    private fun ticket(
+        name: String = "t${nextId++}",
+        rank: Rank,
+        pieces: Int = 1,
+        grantByMs: Long = 1_000_000,
+        organisation: String = "o",
+    ) = Ticket(TicketId(name), OrganisationId(organisation), rank, pieces, grantByMs)
+
+    private fun GateChanges.names() = granted.map { it.value }
+
+    private fun GateChanges.preemptedNames() = preempted.map { it.value }
+}
