--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/placement/PlacementCandidate.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/placement/PlacementCandidate.kt
@@ -17,4 +17,6 @@
     val outstanding: Int,
     /** Prompt tokens that the endpoint may have cached; a hint. */
     val cachedTokensHint: Int,
+    /** Memory of the endpoint in all, or null if it is not known. */
+    val memoryPieces: Int? = null,
 )
