Add authenticated, multiplexed sessions over TCP

Entries and sidecars had only the interfaces. Sessions now run on Ktor sockets with CBOR frames, a mutual HMAC-SHA256 handshake, heartbeats while exchanges are in flight, bounded queues and typed, counted close reasons. ReplySink tells a handler when its peer is gone, SessionServer drains before it closes.

--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ClientExchange.kt
@@ -0,0 +1,52 @@
+package io.knapweedferry.session
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.message.Message
+import kotlinx.coroutines.channels.Channel
+import java.util.concurrent.atomic.AtomicReference
+
+/** Exchange on the side that asked, with a bounded queue of replies. */
+internal class ClientExchange(
+    private val abandon: (ClientExchange) -> Unit,
+) : Exchange {
+    private val replies = Channel<Message>(QUEUED_REPLIES)
+    private val error = AtomicReference<SessionError>()
+
+    /** Id on the wire. */
+    var id: Long = 0
+
+    override suspend fun receive(): Either<SessionError, Message?> {
+        val result = replies.receiveCatching()
+        result.getOrNull()?.let { return it.right() }
+        return error.get()?.left() ?: null.right()
+    }
+
+    override fun close() {
+        fail(SessionError.Lost("the exchange was closed by its owner; open a new one"))
+        abandon(this)
+    }
+
+    /** False if the reader did not keep up. */
+    fun offer(message: Message): Boolean {
+        val result = replies.trySend(message)
+        return result.isSuccess || result.isClosed
+    }
+
+    /** Ends the exchange after the replies that are queued. */
+    fun finish() {
+        replies.close()
+    }
+
+    /** Ends the exchange with [reason] after the replies that are queued. */
+    fun fail(reason: SessionError) {
+        error.compareAndSet(null, reason)
+        replies.close()
+    }
+
+    companion object {
+        /** Covers a pause of the reader of several seconds at 25 ms between tokens. */
+        const val QUEUED_REPLIES = 256
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ClientHandshake.kt
@@ -0,0 +1,28 @@
+package io.knapweedferry.session
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import io.knapweedferry.api.ProcessId
+
+/** Handshake of the side that connects. */
+internal class ClientHandshake(
+    private val settings: SessionSettings,
+) {
+    /** Returns the id that the peer proved. */
+    suspend fun run(wire: Wire): Either<CloseReason, ProcessId> =
+        either {
+            val nonce = HandshakeProof.nonce()
+            val ownId = settings.processId.value
+            wire.send(HandshakeFrame.Hello(HandshakeProof.VERSION, ownId, nonce))
+            val challenge = wire.readHandshake().bind() as? HandshakeFrame.Challenge ?: raise(CloseReason.FRAME_UNEXPECTED)
+            ensure(challenge.version == HandshakeProof.VERSION) { CloseReason.VERSION_MISMATCH }
+            val proof = HandshakeProof(settings.key, ownId, nonce, challenge.processId, challenge.nonce)
+            ensure(HandshakeProof.matches(proof.ofServer(), challenge.proof)) { CloseReason.NOT_AUTHENTICATED }
+            wire.send(HandshakeFrame.Proof(proof.ofClient()))
+            val last = wire.readHandshake().getOrElse { raise(CloseReason.NOT_AUTHENTICATED) }
+            ensure(last is HandshakeFrame.Welcome) { CloseReason.FRAME_UNEXPECTED }
+            ProcessId(challenge.processId)
+        }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ClientSession.kt
@@ -0,0 +1,102 @@
+package io.knapweedferry.session
+
+import io.knapweedferry.api.message.Message
+import kotlinx.coroutines.CancellationException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** Session on the side that connected. */
+internal class ClientSession(
+    wire: Wire,
+    context: SessionContext,
+    private val onEnded: (ClientSession) -> Unit,
+) : FrameTarget {
+    private val settings = context.settings
+    private val counters = context.counters
+    private val exchanges = ConcurrentHashMap<Long, ClientExchange>()
+    private val nextId = AtomicLong()
+    private val connection = Connection(wire, context, this)
+
+    @Volatile
+    private var retired = false
+
+    override val inFlight: Int get() = exchanges.size
+
+    /**
+     * Whether a new exchange may use this session. One that has been quiet for long may be dead without a sign, and waiting
+     * for its timeout would delay new work, so new work gets a fresh connection.
+     */
+    val isUsable: Boolean
+        get() {
+            if (!connection.isOpen || retired) return false
+            if (inFlight == 0) return connection.unheardMs < settings.heartbeatTimeoutMs
+            return connection.silentMs < maxOf(settings.heartbeatTimeoutMs / 2, settings.heartbeatIntervalMs * 3 / 2)
+        }
+
+    fun start() = connection.start()
+
+    /** Sends a request whose size was checked; null if the session ended before the request was queued. */
+    suspend fun open(request: Message): ClientExchange? {
+        val exchange = ClientExchange(::abandon)
+        exchange.id = nextId.incrementAndGet()
+        if (exchanges.isEmpty()) connection.expectAnswer()
+        exchanges[exchange.id] = exchange
+        try {
+            if (connection.send(FrameCodec.encode(Frame.Request(exchange.id, request)))) return exchange
+        } catch (cancelled: CancellationException) {
+            exchange.close()
+            throw cancelled
+        }
+        exchanges.remove(exchange.id)
+        return null
+    }
+
+    /** Closes the session once its exchanges have ended. */
+    fun retire() {
+        retired = true
+        closeIfDone()
+    }
+
+    fun close() = connection.close(CloseReason.CLOSED_HERE)
+
+    override fun accept(frame: Frame): CloseReason? {
+        when (frame) {
+            is Frame.Reply -> deliver(frame)
+            is Frame.End -> end(frame)
+            is Frame.Heartbeat -> Unit
+            is Frame.Request, is Frame.Abandon -> return CloseReason.FRAME_UNEXPECTED
+        }
+        return null
+    }
+
+    override fun ended(reason: CloseReason) {
+        val lost = SessionError.Lost("the session ended (${reason.code}); retry if the request may be repeated")
+        exchanges.values.forEach { it.fail(lost) }
+        exchanges.clear()
+        onEnded(this)
+    }
+
+    private fun deliver(reply: Frame.Reply) {
+        val exchange = exchanges[reply.exchange] ?: return counters.replyDropped()
+        if (exchange.offer(reply.message)) return
+        counters.readerTooSlow()
+        exchange.fail(SessionError.Lost("replies were read too slowly; read faster or ask for less"))
+        abandon(exchange)
+    }
+
+    private fun end(end: Frame.End) {
+        val exchange = exchanges.remove(end.exchange) ?: return
+        if (end.whole) exchange.finish() else exchange.fail(SessionError.Lost("the peer could not finish the exchange; see its log"))
+        closeIfDone()
+    }
+
+    private fun abandon(exchange: ClientExchange) {
+        exchanges.remove(exchange.id) ?: return
+        connection.post(FrameCodec.encode(Frame.Abandon(exchange.id)))
+        closeIfDone()
+    }
+
+    private fun closeIfDone() {
+        if (retired && exchanges.isEmpty()) close()
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/Connection.kt
@@ -0,0 +1,161 @@
+package io.knapweedferry.session
+
+import arrow.core.getOrElse
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/**
+ * Runs an authenticated wire: one coroutine reads, one writes from a bounded queue, one watches for silence. Reading never
+ * waits for an exchange, so that a slow one cannot delay the others.
+ */
+internal class Connection(
+    private val wire: Wire,
+    private val context: SessionContext,
+    private val target: FrameTarget,
+) {
+    private val settings = context.settings
+    private val scope =
+        context.scope + Job(context.scope.coroutineContext.job) + CoroutineExceptionHandler { _, _ -> close(CloseReason.IO_FAILED) }
+    private val outbound = Channel<QueuedFrame>(OUTBOUND_FRAMES)
+    private val closeReason = CompletableDeferred<CloseReason>()
+    private val heartbeat = QueuedFrame(FrameCodec.encode(Frame.Heartbeat))
+
+    @Volatile
+    private var sentAt: TimeMark = TimeSource.Monotonic.markNow()
+
+    @Volatile
+    private var busySince: TimeMark = TimeSource.Monotonic.markNow()
+
+    val isOpen: Boolean get() = !closeReason.isCompleted
+
+    /** Time since the peer was heard, or since there was reason to expect it. */
+    val silentMs: Long
+        get() = minOf(wire.heardAt.elapsedNow(), busySince.elapsedNow()).inWholeMilliseconds
+
+    /** Time since the peer was heard, whether or not something was expected. */
+    val unheardMs: Long get() = wire.heardAt.elapsedNow().inWholeMilliseconds
+
+    fun start() {
+        scope.launch { read() }
+        scope.launch { write() }
+        scope.launch { watch() }
+    }
+
+    /** Tells the watch that the first exchange started after a time without any. */
+    fun expectAnswer() {
+        busySince = TimeSource.Monotonic.markNow()
+    }
+
+    /** Queues a frame, waiting for room; false if the session ended. */
+    suspend fun send(frame: ByteArray): Boolean = queue(QueuedFrame(frame))
+
+    /** Queues a frame at once or, if the queue is full, when there is room. */
+    fun post(frame: ByteArray) {
+        if (outbound.trySend(QueuedFrame(frame)).isFailure) scope.launch { send(frame) }
+    }
+
+    /** Suspends until everything queued so far is written or the session ended. */
+    suspend fun awaitWritten() {
+        val marker = QueuedFrame(heartbeat.bytes, CompletableDeferred())
+        if (!queue(marker)) return
+        select {
+            marker.written?.onAwait {}
+            closeReason.onAwait {}
+        }
+    }
+
+    fun close(reason: CloseReason) {
+        if (!closeReason.complete(reason)) return
+        context.counters.sessionClosed(reason)
+        outbound.close()
+        // Senders that still wait for room resume when the queue is emptied.
+        while (outbound.tryReceive().isSuccess) Unit
+        target.ended(reason)
+        wire.close()
+        scope.coroutineContext.job.cancel()
+    }
+
+    private suspend fun queue(frame: QueuedFrame): Boolean {
+        try {
+            outbound.send(frame)
+        } catch (_: ClosedSendChannelException) {
+            return false
+        }
+        return isOpen
+    }
+
+    private suspend fun read() {
+        while (isOpen) {
+            val frame = wire.read(settings.maxFrameBytes).getOrElse { return close(it) }
+            target.accept(frame)?.let { return close(it) }
+        }
+    }
+
+    private suspend fun write() {
+        for (frame in outbound) {
+            val written =
+                try {
+                    withTimeoutOrNull(settings.heartbeatTimeoutMs) { writeBatch(frame) }
+                } catch (_: IOException) {
+                    return close(CloseReason.IO_FAILED)
+                }
+            if (written == null) return close(CloseReason.WRITE_STALLED)
+            sentAt = TimeSource.Monotonic.markNow()
+            written.forEach { it.complete(Unit) }
+        }
+    }
+
+    /** Writes [first] and what else is queued with a single flush; returns what waits for that. */
+    private suspend fun writeBatch(first: QueuedFrame): List<CompletableDeferred<Unit>> {
+        val waiting = mutableListOf<CompletableDeferred<Unit>>()
+        var frame: QueuedFrame? = first
+        var count = 0
+        while (frame != null) {
+            wire.write(frame.bytes)
+            frame.written?.let(waiting::add)
+            count++
+            frame = if (count < OUTBOUND_FRAMES) outbound.tryReceive().getOrNull() else null
+        }
+        wire.flush()
+        return waiting
+    }
+
+    private suspend fun watch() {
+        while (isOpen) {
+            delay(untilNextCheckMs())
+            if (target.inFlight == 0) {
+                if (unheardMs >= settings.heartbeatTimeoutMs * IDLE_TIMEOUTS) return close(CloseReason.IDLE)
+                continue
+            }
+            if (silentMs >= settings.heartbeatTimeoutMs) return close(CloseReason.SILENT)
+            if (sentAt.elapsedNow().inWholeMilliseconds >= settings.heartbeatIntervalMs / 2) outbound.trySend(heartbeat)
+        }
+    }
+
+    private fun untilNextCheckMs(): Long {
+        if (target.inFlight == 0) return settings.heartbeatIntervalMs
+        return (settings.heartbeatTimeoutMs - silentMs).coerceIn(1, settings.heartbeatIntervalMs)
+    }
+
+    companion object {
+        private const val OUTBOUND_FRAMES = 64
+
+        /**
+         * Idle sessions are closed after this many heartbeat timeouts. The connecting side stops using a session after one,
+         * so a request never crosses with the closing.
+         */
+        private const val IDLE_TIMEOUTS = 3
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/FrameWriter.kt
@@ -0,0 +1,18 @@
+package io.knapweedferry.session
+
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
+import java.nio.ByteBuffer
+
+/** Writes frames, each led by its length as a 32-bit big-endian number. */
+internal class FrameWriter(
+    private val channel: ByteWriteChannel,
+) {
+    /** Writes one frame without pushing it to the network yet. */
+    suspend fun write(frame: ByteArray) {
+        channel.writeFully(ByteBuffer.allocate(FrameReader.HEADER_BYTES).putInt(frame.size).array())
+        channel.writeFully(frame)
+    }
+
+    suspend fun flush() = channel.flush()
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/PooledSessionClient.kt
@@ -0,0 +1,93 @@
+package io.knapweedferry.session
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.message.Message
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+
+/** Keeps one session for each address and replaces it when it ends or falls silent. */
+internal class PooledSessionClient(
+    private val settings: SessionSettings,
+    counters: SessionCounters,
+) : SessionClient {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val context = SessionContext(settings, counters, scope)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val connector = ClientConnector(settings, counters, selector)
+    private val links = ConcurrentHashMap<String, ClientLink>()
+
+    @Volatile
+    private var closed = false
+
+    override suspend fun open(
+        address: String,
+        request: Message,
+    ): Either<SessionError, Exchange> {
+        val sizeBytes = FrameCodec.encode(Frame.Request(Long.MAX_VALUE, request)).size
+        if (sizeBytes > settings.maxFrameBytes) return tooLarge(sizeBytes).left()
+        repeat(ATTEMPTS) {
+            val session = link(address).await().getOrElse { return it.left() }
+            session.open(request)?.let { return it.right() }
+        }
+        return SessionError.NotConnected("sessions to $address end at once; try another endpoint").left()
+    }
+
+    override fun close() {
+        closed = true
+        links.values.forEach {
+            it.complete(closedError().left())
+            it.session?.close()
+        }
+        scope.cancel()
+        selector.close()
+    }
+
+    /** Callers that need the same address share one attempt to connect. */
+    private fun link(address: String): ClientLink {
+        var replaced: ClientLink? = null
+        var added: ClientLink? = null
+        val link =
+            links.compute(address) { _, old ->
+                if (old != null && old.isUsable) return@compute old
+                replaced = old
+                ClientLink().also { added = it }
+            } ?: ClientLink()
+        replaced?.session?.retire()
+        added?.let { scope.launch { connect(address, it) } }
+        if (closed) link.complete(closedError().left())
+        return link
+    }
+
+    private suspend fun connect(
+        address: String,
+        link: ClientLink,
+    ) {
+        val wire =
+            connector.connect(address).getOrElse {
+                links.remove(address, link)
+                link.complete(it.left())
+                return
+            }
+        val session = ClientSession(wire, context) { links.remove(address, link) }
+        session.start()
+        if (!link.complete(session.right())) session.close()
+    }
+
+    private fun tooLarge(sizeBytes: Int) =
+        SessionError.TooLarge("the request needs $sizeBytes bytes of ${settings.maxFrameBytes}; shorten it or raise max_frame_bytes")
+
+    private fun closedError() = SessionError.NotConnected("the session client is closed; the process is stopping")
+
+    companion object {
+        /** A session can end between look-up and use; the second attempt gets a new one. */
+        private const val ATTEMPTS = 2
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ServerHandshake.kt
@@ -0,0 +1,27 @@
+package io.knapweedferry.session
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import io.knapweedferry.api.ProcessId
+
+/** Handshake of the side that accepts. */
+internal class ServerHandshake(
+    private val settings: SessionSettings,
+) {
+    /** Returns the id that the peer proved. */
+    suspend fun run(wire: Wire): Either<CloseReason, ProcessId> =
+        either {
+            val hello = wire.readHandshake().bind() as? HandshakeFrame.Hello ?: raise(CloseReason.FRAME_UNEXPECTED)
+            ensure(hello.nonce.size == HandshakeProof.NONCE_BYTES) { CloseReason.FRAME_UNEXPECTED }
+            val nonce = HandshakeProof.nonce()
+            val ownId = settings.processId.value
+            val proof = HandshakeProof(settings.key, hello.processId, hello.nonce, ownId, nonce)
+            wire.send(HandshakeFrame.Challenge(HandshakeProof.VERSION, ownId, nonce, proof.ofServer()))
+            ensure(hello.version == HandshakeProof.VERSION) { CloseReason.VERSION_MISMATCH }
+            val answer = wire.readHandshake().bind() as? HandshakeFrame.Proof ?: raise(CloseReason.FRAME_UNEXPECTED)
+            ensure(HandshakeProof.matches(proof.ofClient(), answer.proof)) { CloseReason.NOT_AUTHENTICATED }
+            wire.send(HandshakeFrame.Welcome)
+            ProcessId(hello.processId)
+        }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ServerReplySink.kt
@@ -0,0 +1,35 @@
+package io.knapweedferry.session
+
+import io.knapweedferry.api.message.Message
+import kotlinx.coroutines.CompletableDeferred
+
+/** Replies of one exchange on the side that accepted the session. */
+internal class ServerReplySink(
+    private val exchange: Long,
+    private val connection: Connection,
+    private val maxFrameBytes: Int,
+) : ReplySink {
+    private val closed = CompletableDeferred<Unit>()
+
+    /** Set when a reply could not be carried by a frame. */
+    @Volatile
+    var overflowed: Boolean = false
+        private set
+
+    override suspend fun send(message: Message): Boolean {
+        if (closed.isCompleted) return false
+        val frame = FrameCodec.encode(Frame.Reply(exchange, message))
+        if (frame.size > maxFrameBytes) {
+            overflowed = true
+            close()
+            return false
+        }
+        return connection.send(frame) && !closed.isCompleted
+    }
+
+    override suspend fun awaitClosed(): Unit = closed.await()
+
+    fun close() {
+        closed.complete(Unit)
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ServerSession.kt
@@ -0,0 +1,79 @@
+package io.knapweedferry.session
+
+import io.knapweedferry.api.ProcessId
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+
+/** Session on the side that accepted. */
+internal class ServerSession(
+    wire: Wire,
+    private val peer: ProcessId,
+    private val context: SessionContext,
+    private val handler: ExchangeHandler,
+    private val running: MutableStateFlow<Int>,
+    private val onEnded: (ServerSession) -> Unit,
+) : FrameTarget {
+    private val exchanges = ConcurrentHashMap<Long, ServerReplySink>()
+    private val connection = Connection(wire, context, this)
+
+    override val inFlight: Int get() = exchanges.size
+
+    fun start() = connection.start()
+
+    fun close() = connection.close(CloseReason.CLOSED_HERE)
+
+    suspend fun awaitWritten() = connection.awaitWritten()
+
+    override fun accept(frame: Frame): CloseReason? {
+        when (frame) {
+            is Frame.Request -> return begin(frame)
+            is Frame.Abandon -> exchanges.remove(frame.exchange)?.close()
+            is Frame.Heartbeat -> Unit
+            is Frame.Reply, is Frame.End -> return CloseReason.FRAME_UNEXPECTED
+        }
+        return null
+    }
+
+    override fun ended(reason: CloseReason) {
+        exchanges.values.forEach { it.close() }
+        exchanges.clear()
+        onEnded(this)
+    }
+
+    private fun begin(request: Frame.Request): CloseReason? {
+        if (exchanges.size >= MAX_EXCHANGES) {
+            connection.post(FrameCodec.encode(Frame.End(request.exchange, whole = false)))
+            return null
+        }
+        if (exchanges.isEmpty()) connection.expectAnswer()
+        val sink = ServerReplySink(request.exchange, connection, context.settings.maxFrameBytes)
+        if (exchanges.putIfAbsent(request.exchange, sink) != null) return CloseReason.FRAME_UNEXPECTED
+        if (!connection.isOpen) {
+            // The end of the session may have missed an exchange that was added at the same moment.
+            exchanges.remove(request.exchange)
+            return null
+        }
+        running.update { it + 1 }
+        context.scope.launch { handle(request, sink) }.invokeOnCompletion { running.update { it - 1 } }
+        return null
+    }
+
+    private suspend fun handle(
+        request: Frame.Request,
+        sink: ServerReplySink,
+    ) {
+        val failed = runCatching { handler.handle(peer, request.message, sink) }.isFailure || sink.overflowed
+        if (failed) context.counters.handlerFailed()
+        val stillWanted = exchanges.containsKey(request.exchange)
+        if (stillWanted) connection.send(FrameCodec.encode(Frame.End(request.exchange, whole = !failed)))
+        exchanges.remove(request.exchange)
+        sink.close()
+    }
+
+    companion object {
+        /** Bounds the coroutines that one peer can start. */
+        private const val MAX_EXCHANGES = 8_192
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SessionKey.kt
@@ -0,0 +1,27 @@
+package io.knapweedferry.session
+
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/** Key that both ends of a session share. Kept apart from plain byte arrays so that it is never printed. */
+public class SessionKey(
+    bytes: ByteArray,
+) {
+    private val spec: SecretKeySpec
+
+    init {
+        require(bytes.size >= MIN_BYTES) { "the session key has ${bytes.size} bytes; use at least $MIN_BYTES random bytes" }
+        spec = SecretKeySpec(bytes, ALGORITHM)
+    }
+
+    internal fun hmac(text: ByteArray): ByteArray = Mac.getInstance(ALGORITHM).apply { init(spec) }.doFinal(text)
+
+    override fun toString(): String = "SessionKey(hidden)"
+
+    public companion object {
+        /** A shorter key could be guessed offline from one observed handshake. */
+        public const val MIN_BYTES: Int = 16
+
+        private const val ALGORITHM = "HmacSHA256"
+    }
+}
--- a/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SessionServer.kt
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SessionServer.kt
@@ -7,4 +7,7 @@
 
     /** Stops accepting new sessions; open ones go on. */
     public fun stopAccepting()
+
+    /** Suspends until no exchange runs and the last replies are written, so that [close] cuts nothing off. */
+    public suspend fun drain()
 }
--- /dev/null
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SocketSessionServer.kt
@@ -0,0 +1,142 @@
+package io.knapweedferry.session
+
+import arrow.core.getOrElse
+import arrow.core.left
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Listens on a TCP port and keeps the sessions that were accepted. */
+internal class SocketSessionServer private constructor(
+    private val settings: SessionSettings,
+    private val handler: ExchangeHandler,
+    private val counters: SessionCounters,
+    private val selector: SelectorManager,
+    private val listener: ServerSocket,
+) : SessionServer {
+    private val unexpected = CoroutineExceptionHandler { _, _ -> counters.sessionClosed(CloseReason.IO_FAILED) }
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + unexpected)
+    private val context = SessionContext(settings, counters, scope)
+    private val sessions: MutableSet<ServerSession> = ConcurrentHashMap.newKeySet()
+    private val running = MutableStateFlow(0)
+    private val handshakes = AtomicInteger()
+    private val handshake = ServerHandshake(settings)
+
+    @Volatile
+    private var accepting = true
+
+    override val port: Int = (listener.localAddress as InetSocketAddress).port
+
+    /** The port stays bound, because it keeps a second process from serving the same endpoints. */
+    override fun stopAccepting() {
+        accepting = false
+    }
+
+    override suspend fun drain() {
+        running.first { it == 0 }
+        sessions.forEach { it.awaitWritten() }
+    }
+
+    override fun close() {
+        accepting = false
+        listener.close()
+        sessions.forEach { it.close() }
+        scope.cancel()
+        selector.close()
+    }
+
+    private fun start() {
+        scope.launch { acceptLoop() }
+    }
+
+    private suspend fun acceptLoop() {
+        while (currentCoroutineContext().isActive) {
+            val socket =
+                try {
+                    listener.accept()
+                } catch (_: IOException) {
+                    // Out of file descriptors, for example; accepting goes on when some are free again.
+                    delay(ACCEPT_RETRY_MS)
+                    continue
+                }
+            admit(socket)
+        }
+    }
+
+    private fun admit(socket: Socket) {
+        if (!accepting) return socket.close()
+        if (handshakes.incrementAndGet() > MAX_HANDSHAKES) {
+            handshakes.decrementAndGet()
+            counters.sessionClosed(CloseReason.HANDSHAKE_LIMIT)
+            return socket.close()
+        }
+        scope.launch {
+            try {
+                authenticate(Wire(socket))
+            } finally {
+                handshakes.decrementAndGet()
+            }
+        }
+    }
+
+    private suspend fun authenticate(wire: Wire) {
+        val result = withTimeoutOrNull(settings.connectTimeoutMs) { handshakeResult(wire) } ?: CloseReason.HANDSHAKE_TIMEOUT.left()
+        val peer =
+            result.getOrElse {
+                counters.sessionClosed(it)
+                return wire.close()
+            }
+        counters.sessionOpened()
+        val session = ServerSession(wire, peer, context, handler, running) { sessions.remove(it) }
+        sessions.add(session)
+        session.start()
+    }
+
+    private suspend fun handshakeResult(wire: Wire) =
+        try {
+            handshake.run(wire)
+        } catch (_: IOException) {
+            CloseReason.IO_FAILED.left()
+        }
+
+    companion object {
+        /** Bounds what peers that have proved nothing can occupy. */
+        private const val MAX_HANDSHAKES = 256
+        private const val ACCEPT_RETRY_MS = 100L
+
+        suspend fun listen(
+            settings: SessionSettings,
+            handler: ExchangeHandler,
+            listenAddress: String,
+            counters: SessionCounters,
+        ): SocketSessionServer {
+            val address = SocketAddressText.parse(listenAddress) ?: throw IOException("$listenAddress is not ip:port; correct it")
+            val selector = SelectorManager(Dispatchers.IO)
+            val listener =
+                try {
+                    aSocket(selector).tcp().bind(address)
+                } catch (taken: IOException) {
+                    selector.close()
+                    throw taken
+                }
+            return SocketSessionServer(settings, handler, counters, selector, listener).apply { start() }
+        }
+    }
+}
--- /dev/null
+++ b/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/SessionSpec.kt
@@ -0,0 +1,288 @@
+package io.knapweedferry.session
+
+import arrow.core.Either
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.RequestId
+import io.knapweedferry.api.Revision
+import io.knapweedferry.api.message.Acknowledged
+import io.knapweedferry.api.message.ConfigOffer
+import io.knapweedferry.api.message.ConfigPull
+import io.knapweedferry.api.message.Describe
+import io.knapweedferry.api.message.Message
+import io.knapweedferry.api.message.Tokens
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertInstanceOf
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import java.io.IOException
+import java.nio.ByteBuffer
+
+/** Guards against sessions that lose, mix up or block exchanges, and against peers without the key. */
+internal class SessionSpec {
+    private val counters = RecordedCounters()
+
+    @Test
+    fun `many exchanges on one session keep their replies apart and in order`() =
+        serving({ _, request, replies ->
+            val size = (request as ConfigPull).newerThan.value.toInt()
+            repeat(size) { replies.send(offer(it.toLong())) }
+        }) { client, address ->
+            val received =
+                (1..100)
+                    .map { size ->
+                        async {
+                            val exchange = client.open(address, ConfigPull(Revision(size.toLong()))).orFail()
+                            generateReplies(exchange).map { (it as ConfigOffer).foldedOffset }
+                        }
+                    }.awaitAll()
+            assertEquals((1..100).map { size -> (0L until size).toList() }, received)
+            assertEquals(2, counters.count("opened"), "both ends of a single session")
+        }
+
+    @Test
+    fun `a client with another key is told so and no handler runs`() =
+        serving({ _, _, _ -> error("must not run") }) { _, address ->
+            Sessions.client(settings("intruder", key = 2), counters).use { client ->
+                assertInstanceOf(SessionError.NotAuthenticated::class.java, client.open(address, Describe).leftOrNull())
+            }
+            assertEquals(0, counters.count("handler_failed"))
+        }
+
+    @Test
+    fun `a proof recorded in one handshake does not open another`() =
+        serving({ _, _, _ -> }) { _, address ->
+            val nonce = HandshakeProof.nonce()
+            RawPeer().use { peer ->
+                val proof = CompletableDeferred<ByteArray>()
+                repeat(2) {
+                    val wire = Wire(peer.connect(address.substringAfter(':').toInt()))
+                    wire.send(HandshakeFrame.Hello(HandshakeProof.VERSION, "client", nonce))
+                    val challenge = wire.readHandshake().getOrNull() as HandshakeFrame.Challenge
+                    proof.complete(HandshakeProof(KEY, "client", nonce, challenge.processId, challenge.nonce).ofClient())
+                    wire.send(HandshakeFrame.Proof(proof.await()))
+                }
+                counters.await("opened")
+                counters.await("not_authenticated")
+                assertEquals(1, counters.count("opened"))
+            }
+        }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `a broken frame ends the session with a counted reason`(case: BrokenFrame) =
+        serving({ _, _, _ -> }) { client, address ->
+            RawPeer().use { peer ->
+                val socket = peer.connect(address.substringAfter(':').toInt())
+                val output = socket.openWriteChannel()
+                ClientHandshake(settings("client")).run(Wire(socket.openReadChannel(), output, socket::close))
+                output.writeFully(case.bytes)
+                output.flush()
+                if (case.endsStream) socket.close()
+                counters.await(case.reason.code)
+            }
+            assertEquals(emptyList<Message>(), generateReplies(client.open(address, Describe).orFail()))
+        }
+
+    @Test
+    fun `a peer that goes silent ends its exchanges as lost and the next open connects anew`() =
+        runBlocking {
+            RawPeer().use { peer ->
+                val listener = peer.listen()
+                val address = "127.0.0.1:${(listener.localAddress as InetSocketAddress).port}"
+                val accepting =
+                    launch {
+                        while (true) ServerHandshake(settings("server")).run(Wire(listener.accept()))
+                    }
+                Sessions.client(settings("client"), counters).use { client ->
+                    withTimeout(LIMIT_MS) {
+                        val first = client.open(address, Describe).orFail()
+                        assertInstanceOf(SessionError.Lost::class.java, first.receive().leftOrNull())
+                        counters.await("silent")
+                        client.open(address, Describe).orFail()
+                        assertEquals(2, counters.count("opened"))
+                    }
+                }
+                accepting.cancel()
+                listener.close()
+            }
+        }
+
+    @Test
+    fun `a slow reader is failed alone`() =
+        serving({ _, request, replies ->
+            if (request is Describe) {
+                while (replies.send(Acknowledged)) Unit
+            } else {
+                replies.send(Acknowledged)
+            }
+        }) { client, address ->
+            val slow = client.open(address, Describe).orFail()
+            counters.await("reader_too_slow")
+            val quick = client.open(address, ConfigPull(Revision.NONE)).orFail()
+            assertEquals(listOf<Message>(Acknowledged), generateReplies(quick))
+            repeat(ClientExchange.QUEUED_REPLIES) { slow.receive().orFail() }
+            assertInstanceOf(SessionError.Lost::class.java, slow.receive().leftOrNull())
+            assertEquals(2, counters.count("opened"))
+        }
+
+    @Test
+    fun `heartbeats keep a session with a long exchange open`() {
+        val release = CompletableDeferred<Unit>()
+        serving({ _, _, replies ->
+            release.await()
+            replies.send(Acknowledged)
+        }) { client, address ->
+            val exchange = client.open(address, Describe).orFail()
+            launch {
+                delay(settings("any").heartbeatTimeoutMs * 2)
+                release.complete(Unit)
+            }
+            assertEquals(listOf<Message>(Acknowledged), generateReplies(exchange))
+            assertEquals(0, counters.count("silent"))
+        }
+    }
+
+    @Test
+    fun `a handler learns that its exchange or session is gone`() {
+        val gone = CompletableDeferred<Boolean>()
+        serving({ _, _, replies ->
+            replies.awaitClosed()
+            gone.complete(replies.send(Acknowledged))
+        }) { client, address ->
+            val exchange = client.open(address, Describe).orFail()
+            exchange.close()
+            assertFalse(gone.await())
+        }
+    }
+
+    @Test
+    fun `a request larger than a frame is not sent and a larger reply ends the exchange as lost`() =
+        serving({ _, _, replies -> replies.send(large) }) { client, address ->
+            assertInstanceOf(SessionError.TooLarge::class.java, client.open(address, large).leftOrNull())
+            assertInstanceOf(
+                SessionError.Lost::class.java,
+                client
+                    .open(address, Describe)
+                    .orFail()
+                    .receive()
+                    .leftOrNull(),
+            )
+            assertEquals(1, counters.count("handler_failed"))
+        }
+
+    @Test
+    fun `drain and close deliver the replies that were sent before`() {
+        val started = CompletableDeferred<Unit>()
+        val release = CompletableDeferred<Unit>()
+        runBlocking {
+            val server =
+                Sessions.server(settings("server"), { _, _, replies ->
+                    started.complete(Unit)
+                    release.await()
+                    repeat(200) { replies.send(offer(it.toLong())) }
+                }, counters = counters)
+            Sessions.client(settings("client"), counters).use { client ->
+                withTimeout(LIMIT_MS) {
+                    val exchange = client.open("127.0.0.1:${server.port}", Describe).orFail()
+                    started.await()
+                    server.stopAccepting()
+                    val replies = async { generateReplies(exchange) }
+                    release.complete(Unit)
+                    server.drain()
+                    server.close()
+                    assertEquals(200, replies.await().size)
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a port that is taken is reported to the second server`() =
+        serving({ _, _, _ -> }) { _, address ->
+            assertThrows(IOException::class.java) {
+                runBlocking { Sessions.server(settings("second"), { _, _, _ -> }, address) }
+            }
+        }
+
+    @Test
+    fun `an address where nothing listens is reported as not connected`() =
+        serving({ _, _, _ -> awaitCancellation() }) { client, _ ->
+            for (address in listOf("127.0.0.1:1", "no-port", "127.0.0.1:99999")) {
+                assertInstanceOf(SessionError.NotConnected::class.java, client.open(address, Describe).leftOrNull(), address)
+            }
+        }
+
+    private fun serving(
+        handler: ExchangeHandler,
+        body: suspend CoroutineScope.(SessionClient, String) -> Unit,
+    ): Unit =
+        runBlocking {
+            Sessions.server(settings("server"), handler, counters = counters).use { server ->
+                Sessions.client(settings("client"), counters).use { client ->
+                    withTimeout(LIMIT_MS) { body(client, "127.0.0.1:${server.port}") }
+                }
+            }
+        }
+
+    private suspend fun generateReplies(exchange: Exchange): List<Message> =
+        buildList {
+            while (true) add(exchange.receive().orFail() ?: break)
+        }
+
+    private fun offer(offset: Long) = ConfigOffer(Revision(offset), offset, null)
+
+    private fun <T> Either<SessionError, T>.orFail(): T = fold({ error(it.message) }, { it })
+
+    private fun settings(
+        id: String,
+        key: Int = 1,
+    ) = SessionSettings(
+        processId = ProcessId(id),
+        key = SessionKey(ByteArray(32) { key.toByte() }),
+        heartbeatIntervalMs = 100,
+        heartbeatTimeoutMs = 400,
+        maxFrameBytes = 65_536,
+        connectTimeoutMs = 1_000,
+    )
+
+    /** Bytes that no frame consists of. */
+    internal enum class BrokenFrame(
+        val reason: CloseReason,
+        val bytes: ByteArray,
+        val endsStream: Boolean = false,
+    ) {
+        OVERSIZED(CloseReason.FRAME_TOO_LARGE, ByteBuffer.allocate(4).putInt(65_537).array()),
+        NEGATIVE(CloseReason.FRAME_TOO_LARGE, ByteBuffer.allocate(4).putInt(-1).array()),
+        TRUNCATED(CloseReason.FRAME_TRUNCATED, ByteBuffer.allocate(8).putInt(100).array(), endsStream = true),
+        UNKNOWN(
+            CloseReason.FRAME_UNKNOWN,
+            ByteBuffer
+                .allocate(8)
+                .putInt(4)
+                .putInt(-1)
+                .array(),
+        ),
+    }
+
+    private companion object {
+        const val LIMIT_MS = 10_000L
+        val KEY = SessionKey(ByteArray(32) { 1 })
+        val large = Tokens(RequestId("r"), 1, 0, listOf("x".repeat(70_000)))
+    }
+}
