Add the sidecar's message handlers: leases, streams, prefill, services and claims

First version without specs, for the modules that build on Sidecar, SidecarSettings, EndpointDefinition, GateFactory and ClaimVoider.

--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/AttachHandler.kt
@@ -0,0 +1,26 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.message.Attach
+import io.knapweedferry.session.ReplySink
+
+/** Hands a running or kept stream to a reader that comes back for it. */
+internal class AttachHandler(
+    private val replies: Replies,
+) {
+    suspend fun handle(
+        endpoint: EngineEndpoint,
+        request: Attach,
+        sink: ReplySink,
+    ) {
+        val desk = endpoint.decode
+        val work = desk.findStream(request.organisation, request.requestId)
+        val stream = work?.stream
+        if (stream == null || request.fromPosition < stream.buffer.basePosition) {
+            val refusal = Refusal(RefusalReason.LEASE_EXPIRED, "no stream of this request is kept from position ${request.fromPosition}")
+            return replies.refuse(sink, refusal, desk.gate.load())
+        }
+        StreamDelivery(work.key, stream, desk.gate, replies).run(sink, request.fromPosition, announceStart = false)
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/ClaimQueryHandler.kt
@@ -0,0 +1,38 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.ClaimRef
+import io.knapweedferry.api.message.ClaimQuery
+import io.knapweedferry.api.message.ClaimState
+import io.knapweedferry.api.message.ClaimStatus
+import io.knapweedferry.session.ReplySink
+
+/** Tells what became of a claim, and voids one that never arrived. */
+internal class ClaimQueryHandler(
+    private val context: SidecarContext,
+    private val claims: ClaimTable,
+    private val voider: ClaimVoider,
+) {
+    suspend fun handle(
+        request: ClaimQuery,
+        sink: ReplySink,
+    ) {
+        sink.send(status(request.claim))
+    }
+
+    private suspend fun status(claim: ClaimRef): ClaimStatus {
+        if (claim.incarnation != context.settings.incarnation) return ClaimStatus(ClaimState.OTHER_INCARNATION)
+        // The mark comes first: once the void is in the log, the key may be claimed again, so no dispatch may follow.
+        return when (val entry = claims.refuse(claim)) {
+            is ClaimEntry.Done -> ClaimStatus(ClaimState.DONE, entry.answer)
+            is ClaimEntry.InProgress -> ClaimStatus(ClaimState.IN_PROGRESS)
+            is ClaimEntry.Unknown -> ClaimStatus(ClaimState.UNKNOWN)
+            is ClaimEntry.Refused -> ClaimStatus(if (entry.voided || appendVoid(claim)) ClaimState.VOIDED else ClaimState.REFUSED)
+        }
+    }
+
+    private suspend fun appendVoid(claim: ClaimRef): Boolean {
+        if (voider.appendVoid(claim).isLeft()) return false
+        claims.voided(claim)
+        return true
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/ClaimTable.kt
@@ -0,0 +1,119 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.ClaimId
+import io.knapweedferry.api.ClaimRef
+import io.knapweedferry.api.IdempotencyKey
+import io.knapweedferry.api.message.ServiceAnswer
+import kotlinx.coroutines.CompletableDeferred
+import java.util.UUID
+
+/**
+ * Decides, for each claim, once between dispatching it and refusing it. A claim that was dispatched is never forgotten
+ * without a trace: entries dropped to bound memory leave behind the time of their newest key, and a claim that is not known
+ * and not newer than that counts as [ClaimEntry.Unknown].
+ */
+internal class ClaimTable(
+    private val clock: MonotonicClock,
+    private val keepMs: Long,
+    private val maxEntries: Int = MAX_ENTRIES,
+) {
+    private val slots = LinkedHashMap<ClaimId, Slot>()
+    private var newestDroppedKeyMs: Long? = null
+
+    /** Null if the caller now must dispatch the claim; otherwise why it must not. */
+    fun dispatch(claim: ClaimRef): ClaimEntry? = decide(claim, ClaimEntry.InProgress)
+
+    /** Marks a claim that was never dispatched as refused, and returns what is known of it then. */
+    fun refuse(claim: ClaimRef): ClaimEntry = ClaimEntry.Refused(voided = false).let { decide(claim, it) ?: it }
+
+    /** Records that the void of a refused claim is in the log. */
+    fun voided(claim: ClaimRef) = settle(claim, ClaimEntry.Refused(voided = true))
+
+    /** Records the answer to a dispatched claim. */
+    fun answered(
+        claim: ClaimRef,
+        answer: ServiceAnswer,
+    ) = settle(claim, ClaimEntry.Done(answer, clock.nowMs() + keepMs))
+
+    /** Records that it is not known whether a dispatched claim took effect. */
+    fun unanswered(claim: ClaimRef) = settle(claim, ClaimEntry.Unknown)
+
+    /** Records that a dispatched claim surely had no effect, so that it may be voided. */
+    fun notSent(claim: ClaimRef) = settle(claim, ClaimEntry.Refused(voided = false))
+
+    /** What is known of a claim, or null. */
+    fun find(claim: ClaimRef): ClaimEntry? = synchronized(slots) { known(claim) }
+
+    /** Waits until a claim that is being dispatched has an outcome, and returns it. */
+    suspend fun awaitSettled(claim: ClaimRef): ClaimEntry? {
+        synchronized(slots) { slots[claim.claimId]?.takeIf { it.entry == ClaimEntry.InProgress } }?.settled?.await()
+        return find(claim)
+    }
+
+    private fun decide(
+        claim: ClaimRef,
+        entry: ClaimEntry,
+    ): ClaimEntry? =
+        synchronized(slots) {
+            val known = known(claim)
+            if (known == null) {
+                slots[claim.claimId] = Slot(claim.key, entry)
+                dropExcess()
+            }
+            known
+        }
+
+    private fun settle(
+        claim: ClaimRef,
+        entry: ClaimEntry,
+    ) {
+        val slot = synchronized(slots) { slots[claim.claimId]?.also { it.entry = entry } }
+        slot?.settled?.complete(Unit)
+    }
+
+    private fun known(claim: ClaimRef): ClaimEntry? {
+        val slot = slots[claim.claimId]
+        if (slot == null) return if (mayBeDropped(claim.key)) ClaimEntry.Unknown else null
+        val entry = slot.entry
+        if (entry is ClaimEntry.Done && entry.keepUntilMs <= clock.nowMs()) slot.entry = ClaimEntry.Unknown
+        return slot.entry
+    }
+
+    private fun mayBeDropped(key: IdempotencyKey): Boolean {
+        val newestMs = newestDroppedKeyMs ?: return false
+        return keyTimeMs(key) <= newestMs
+    }
+
+    private fun dropExcess() {
+        val oldest = slots.values.iterator()
+        while (slots.size > maxEntries && oldest.hasNext()) {
+            val slot = oldest.next()
+            if (slot.entry == ClaimEntry.InProgress) continue
+            oldest.remove()
+            newestDroppedKeyMs = maxOf(newestDroppedKeyMs ?: Long.MIN_VALUE, keyTimeMs(slot.key))
+        }
+    }
+
+    /** Keys that carry no time count as older than all others. */
+    private fun keyTimeMs(key: IdempotencyKey): Long {
+        val uuid = runCatching { UUID.fromString(key.value) }.getOrNull()
+        if (uuid == null || uuid.version() != TIMED_VERSION) return Long.MIN_VALUE
+        return uuid.mostSignificantBits ushr TIME_SHIFT_BITS
+    }
+
+    private class Slot(
+        val key: IdempotencyKey,
+        var entry: ClaimEntry,
+    ) {
+        val settled = CompletableDeferred<Unit>()
+    }
+
+    companion object {
+        /** About 10 MB, or half a day at one claim a second. */
+        private const val MAX_ENTRIES = 40_000
+        private const val TIMED_VERSION = 7
+
+        /** A version 7 UUID begins with 48 bits of Unix time in milliseconds. */
+        private const val TIME_SHIFT_BITS = 16
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EndpointAccess.kt
@@ -0,0 +1,49 @@
+package io.knapweedferry.sidecar.server
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.ModelName
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.ServiceName
+import io.knapweedferry.config.state.ConfigSnapshot
+import io.knapweedferry.config.state.EndpointAssignment
+import io.knapweedferry.config.state.EndpointRole
+
+/** Decides by the configuration whether an endpoint may take a piece of work now. */
+internal class EndpointAccess(
+    private val context: SidecarContext,
+) {
+    fun forModel(
+        endpoint: Endpoint,
+        model: ModelName,
+        roles: Set<EndpointRole>,
+    ): Refusal? =
+        check(endpoint).fold({ it }) { (_, assignment) ->
+            when {
+                assignment.model != model -> wrong("it serves ${assignment.model?.value ?: "no model"}")
+                assignment.role !in roles -> wrong("its role is ${assignment.role}")
+                else -> null
+            }
+        }
+
+    /** Returns the configuration if [service] may be called. */
+    fun forService(
+        endpoint: Endpoint,
+        service: ServiceName,
+    ): Either<Refusal, ConfigSnapshot> =
+        check(endpoint).fold({ it.left() }) { (snapshot, assignment) ->
+            if (assignment.service == service) snapshot.right() else wrong("it serves ${assignment.service?.value}").left()
+        }
+
+    private fun check(endpoint: Endpoint): Either<Refusal, Pair<ConfigSnapshot, EndpointAssignment>> {
+        if (!endpoint.state.takesWork) return Refusal(RefusalReason.ENDPOINT_LEAVING).left()
+        val snapshot = context.config.current() ?: return Refusal(RefusalReason.NOT_READY).left()
+        val assignment = snapshot.state.endpoints[endpoint.id] ?: return Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, "unassigned").left()
+        if (assignment.draining) return Refusal(RefusalReason.ENDPOINT_LEAVING).left()
+        return (snapshot to assignment).right()
+    }
+
+    private fun wrong(detail: String) = Refusal(RefusalReason.WRONG_MODEL, detail)
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EndpointState.kt
@@ -0,0 +1,32 @@
+package io.knapweedferry.sidecar.server
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+
+/** Whether an endpoint takes new work, and how much is in progress. */
+internal class EndpointState(
+    private val context: SidecarContext,
+) {
+    private val inProgress = MutableStateFlow(0)
+
+    /** True while an order changes what the endpoint serves. */
+    @Volatile
+    var closed: Boolean = false
+
+    val takesWork: Boolean get() = !closed && !context.leaving
+
+    /** Counts new work; false, with nothing counted, if the endpoint takes none. */
+    fun enter(): Boolean {
+        inProgress.update { it + 1 }
+        if (takesWork) return true
+        leave()
+        return false
+    }
+
+    fun leave() = inProgress.update { it - 1 }
+
+    suspend fun awaitIdle() {
+        inProgress.first { it == 0 }
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EngineRequestIds.kt
@@ -0,0 +1,22 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.Incarnation
+import io.knapweedferry.platform.engine.EngineRequestId
+
+/** Makes and recognises the ids that requests have inside an engine. */
+internal class EngineRequestIds(
+    incarnation: Incarnation,
+) {
+    private val prefix = "${incarnation.value}."
+
+    fun prefill(key: WorkKey): EngineRequestId = id("p", key)
+
+    fun decode(key: WorkKey): EngineRequestId = id("d", key)
+
+    fun isOwn(id: EngineRequestId): Boolean = id.value.startsWith(prefix)
+
+    private fun id(
+        kind: String,
+        key: WorkKey,
+    ) = EngineRequestId("$prefix$kind.${key.attempt}.${key.organisation.value}.${key.requestId.value}")
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/GateKeeper.kt
@@ -0,0 +1,120 @@
+package io.knapweedferry.sidecar.server
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.policy.admission.AdmissionGate
+import io.knapweedferry.policy.admission.GateChanges
+import io.knapweedferry.policy.admission.Ticket
+import io.knapweedferry.policy.admission.TicketId
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Runs an admission gate under a lock, lets requests wait for its decisions and refuses those whose time is up. */
+internal class GateKeeper(
+    private val endpoint: EndpointId,
+    private val gate: AdmissionGate,
+    context: SidecarContext,
+    /** Called without the lock for each holder that must give up its capacity. */
+    private val onPreempted: (TicketId) -> Unit = {},
+) {
+    private val clock = context.clock
+    private val lock = Any()
+    private val waiting = HashMap<TicketId, CompletableDeferred<Either<Refusal, Unit>>>()
+    private val grantedAtMs = HashMap<TicketId, Long>()
+    private val deadlineChanged = Channel<Unit>(Channel.CONFLATED)
+
+    init {
+        context.scope.launch { expireLoop() }
+    }
+
+    /** Waits until [ticket] is granted or refused; a cancelled caller gives its place back. */
+    suspend fun admit(ticket: Ticket): Either<Refusal, Unit> {
+        val decision = CompletableDeferred<Either<Refusal, Unit>>()
+        change {
+            waiting[ticket.id] = decision
+            gate.offer(ticket, clock.nowMs())
+        }
+        try {
+            return decision.await()
+        } catch (cancelled: CancellationException) {
+            release(ticket.id)
+            throw cancelled
+        }
+    }
+
+    /** Ends a ticket that waits or holds capacity; does nothing if it has ended. */
+    fun release(id: TicketId) =
+        change {
+            waiting.remove(id)
+            val now = clock.nowMs()
+            grantedAtMs.remove(id)?.let { gate.observeServiceMs((now - it).toDouble()) }
+            gate.release(id, now)
+        }
+
+    /** Refuses everything that waits; what holds capacity keeps it. */
+    fun refuseWaiting(refusal: Refusal) {
+        val refused =
+            synchronized(lock) {
+                val all = waiting.toMap()
+                waiting.clear()
+                all
+            }
+        refused.values.forEach { it.complete(refusal.left()) }
+        refused.keys.forEach(::release)
+    }
+
+    fun observeInterTokenMs(interTokenMs: Double) = synchronized(lock) { gate.observeInterTokenMs(interTokenMs) }
+
+    fun load(): LoadDigest {
+        val load = synchronized(lock) { gate.load(clock.nowMs()) }
+        return LoadDigest(
+            endpoint = endpoint,
+            freeSlots = load.freeSlots,
+            freePieces = load.freePieces,
+            queuedUrgent = load.queuedUrgent,
+            queuedStandard = load.queuedStandard,
+            queuedBackground = load.queuedBackground,
+            waitMs = load.waitMs,
+            interTokenMs = load.interTokenMs,
+        )
+    }
+
+    private fun change(action: () -> GateChanges) {
+        val decisions = mutableListOf<Pair<CompletableDeferred<Either<Refusal, Unit>>, Either<Refusal, Unit>>>()
+        val preempted =
+            synchronized(lock) {
+                val changes = action()
+                for (id in changes.granted) {
+                    waiting.remove(id)?.let {
+                        decisions += it to Unit.right()
+                        grantedAtMs[id] = clock.nowMs()
+                    }
+                }
+                for ((id, refusal) in changes.refused) waiting.remove(id)?.let { decisions += it to refusal.left() }
+                changes.preempted
+            }
+        decisions.forEach { (waiter, decision) -> waiter.complete(decision) }
+        preempted.forEach(onPreempted)
+        deadlineChanged.trySend(Unit)
+    }
+
+    private suspend fun expireLoop() {
+        while (true) {
+            val nextMs = synchronized(lock) { gate.nextDeadlineMs() }
+            if (nextMs == null) {
+                deadlineChanged.receive()
+                continue
+            }
+            val leftMs = nextMs - clock.nowMs()
+            val changed = leftMs > 0 && withTimeoutOrNull(leftMs) { deadlineChanged.receive() } != null
+            if (!changed) change { gate.expire(clock.nowMs()) }
+        }
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/GuardedEngine.kt
@@ -0,0 +1,46 @@
+package io.knapweedferry.sidecar.server
+
+import arrow.core.Either
+import io.knapweedferry.api.KvHandle
+import io.knapweedferry.api.KvSource
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.platform.engine.CacheEvent
+import io.knapweedferry.platform.engine.Engine
+import io.knapweedferry.platform.engine.EngineEvent
+import io.knapweedferry.platform.engine.EngineLoad
+import io.knapweedferry.platform.engine.EngineOrder
+import io.knapweedferry.platform.engine.EngineRequestId
+import io.knapweedferry.platform.engine.GenerateOrder
+import io.knapweedferry.platform.engine.PrefillOrder
+import io.knapweedferry.platform.engine.PrefillResult
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+
+/** Turns exceptions of an engine adapter into errors, so that a fault in it cannot leave a request without an end. */
+internal class GuardedEngine(
+    private val engine: Engine,
+) : Engine {
+    override suspend fun prefill(order: PrefillOrder): Either<PlatformError, PrefillResult> = guarded { engine.prefill(order) }
+
+    override suspend fun importKv(
+        id: EngineRequestId,
+        source: KvSource,
+        timeoutMs: Long,
+    ): Either<PlatformError, Unit> = guarded { engine.importKv(id, source, timeoutMs) }
+
+    override fun generate(order: GenerateOrder): Flow<EngineEvent> =
+        engine.generate(order).catch { emit(EngineEvent.Broken(PlatformError.BadAnswer(it.toString()))) }
+
+    override suspend fun cancel(id: EngineRequestId): Either<PlatformError, Unit> = guarded { engine.cancel(id) }
+
+    override suspend fun releaseKv(handle: KvHandle): Either<PlatformError, Unit> = guarded { engine.releaseKv(handle) }
+
+    override suspend fun held(): Either<PlatformError, List<EngineRequestId>> = guarded { engine.held() }
+
+    override suspend fun load(): Either<PlatformError, EngineLoad> = guarded { engine.load() }
+
+    override suspend fun cacheEvents(afterSequence: Long): Either<PlatformError, List<CacheEvent>> =
+        guarded { engine.cacheEvents(afterSequence) }
+
+    override suspend fun order(order: EngineOrder): Either<PlatformError, Unit> = guarded { engine.order(order) }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Replies.kt
@@ -0,0 +1,34 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.message.AttemptFailed
+import io.knapweedferry.api.message.Refused
+import io.knapweedferry.session.ReplySink
+
+/** Sends the replies that end an exchange without an answer, and counts them. */
+internal class Replies(
+    private val counters: SidecarCounters,
+) {
+    suspend fun refuse(
+        sink: ReplySink,
+        refusal: Refusal,
+        load: LoadDigest? = null,
+    ) {
+        counters.refused(refusal.reason)
+        sink.send(Refused(refusal, load))
+    }
+
+    /** Returns whether the reply was sent. */
+    suspend fun fail(
+        sink: ReplySink,
+        key: WorkKey,
+        reason: FailureReason,
+        detail: String,
+        load: LoadDigest? = null,
+    ): Boolean {
+        counters.attemptFailed(reason)
+        return sink.send(AttemptFailed(key.requestId, key.attempt, reason, detail, load))
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/ServiceCall.kt
@@ -0,0 +1,74 @@
+package io.knapweedferry.sidecar.server
+
+import arrow.core.Either
+import arrow.core.left
+import io.knapweedferry.api.AnswerDigest
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.message.Invoke
+import io.knapweedferry.api.message.ServiceAnswer
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.platform.service.ServiceOrder
+import io.knapweedferry.platform.service.ServiceResult
+import io.knapweedferry.session.ReplySink
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Calls the service once and records the outcome of the claim. */
+internal class ServiceCall(
+    private val endpoint: ServiceEndpoint,
+    private val claims: ClaimTable,
+) {
+    /** Runs a submitted call. A claimed call goes on when its caller leaves, because its outcome must be known. */
+    suspend fun run(
+        work: InvokeWork,
+        request: Invoke,
+        timeoutMs: Long,
+        sink: ReplySink,
+    ): CallOutcome {
+        val claim = request.claim
+        if (claim == null) {
+            val result = whileWanted(sink, work.over) { call(request, timeoutMs) }
+            return result?.let { outcome(request, it) } ?: CallOutcome.Failed(FailureReason.CANCELLED, "cancelled by its caller")
+        }
+        val outcome = outcome(request, call(request, timeoutMs))
+        when (outcome) {
+            is CallOutcome.Answered -> claims.answered(claim, outcome.answer)
+            is CallOutcome.Failed -> claims.unanswered(claim)
+            is CallOutcome.NotSent -> claims.notSent(claim)
+        }
+        return outcome
+    }
+
+    private suspend fun call(
+        request: Invoke,
+        timeoutMs: Long,
+    ) = withTimeoutOrNull(timeoutMs) {
+        val order =
+            ServiceOrder(
+                requestId = request.requestId.value,
+                service = request.service.value,
+                operation = request.operation.value,
+                body = request.body,
+                idempotencyKey = request.claim?.key?.value,
+                timeoutMs = timeoutMs,
+            )
+        guarded { endpoint.definition.service.call(order) }
+    } ?: PlatformError.NoAnswer("the service did not answer within $timeoutMs ms").left()
+
+    private fun outcome(
+        request: Invoke,
+        result: Either<PlatformError, ServiceResult>,
+    ): CallOutcome =
+        result.fold({ failure(it) }) {
+            val digest = AnswerDigest.of(it.body)
+            CallOutcome.Answered(ServiceAnswer(request.requestId, request.attempt, it.status, it.contentType, it.body, digest))
+        }
+
+    private fun failure(error: PlatformError): CallOutcome =
+        when (error) {
+            is PlatformError.NotSent -> CallOutcome.NotSent(Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, error.message))
+            is PlatformError.NoAnswer -> CallOutcome.Failed(FailureReason.SERVICE_SILENT, error.message)
+            is PlatformError.Rejected, is PlatformError.BadAnswer -> CallOutcome.Failed(FailureReason.SERVICE_FAILED, error.message)
+        }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/StreamRunner.kt
@@ -0,0 +1,108 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.KvSource
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.platform.engine.Engine
+import io.knapweedferry.platform.engine.EngineEvent
+import io.knapweedferry.platform.engine.GenerateOrder
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.flow.mapNotNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Imports the cache and generates one answer into a buffer, until it is whole, fails, is aborted or runs out of time. */
+internal class StreamRunner(
+    private val engine: Engine,
+    private val context: SidecarContext,
+    private val order: GenerateOrder,
+    private val source: KvSource?,
+    private val buffer: StreamBuffer,
+    private val onInterTokenMs: (Double) -> Unit,
+) {
+    private val aborted = CompletableDeferred<StreamOutcome.Failed>()
+    private var lastTokenAtMs: Long? = null
+
+    /** Makes the stream fail with [reason] unless it ended before. */
+    fun abort(
+        reason: FailureReason,
+        detail: String,
+    ) {
+        aborted.complete(StreamOutcome.Failed(reason, detail))
+    }
+
+    /** Returns the outcome; the engine may still hold memory unless it is whole. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun run(deadlineMs: Long): StreamOutcome =
+        coroutineScope {
+            val production = async { produce() }
+            val outcome =
+                select {
+                    aborted.onAwait { it }
+                    production.onAwait { it }
+                    onTimeout(deadlineMs) { StreamOutcome.Failed(FailureReason.DEADLINE, "the deadline passed") }
+                }
+            production.cancel()
+            outcome
+        }
+
+    private suspend fun produce(): StreamOutcome {
+        val startedAtMs = context.clock.nowMs()
+        if (source != null) import(source)?.let { return it }
+        buffer.start(context.clock.nowMs() - startedAtMs)
+        return engine
+            .generate(order)
+            .mapNotNull(::take)
+            .firstOrNull()
+            ?: StreamOutcome.Failed(FailureReason.ENGINE_FAILED, "the engine ended the stream without its end event")
+    }
+
+    private suspend fun import(source: KvSource): StreamOutcome? {
+        val timeoutMs = context.settings.importTimeoutMs
+        var detail = ""
+        repeat(context.settings.importAttempts) {
+            val result = withTimeoutOrNull(timeoutMs) { engine.importKv(order.id, source, timeoutMs) }
+            if (result?.isRight() == true) return null
+            detail = result?.leftOrNull()?.message ?: "no end within $timeoutMs ms"
+        }
+        return StreamOutcome.Failed(FailureReason.TRANSFER_FAILED, detail)
+    }
+
+    /** Returns the outcome if [event] ends the stream. */
+    private fun take(event: EngineEvent): StreamOutcome? =
+        when (event) {
+            is EngineEvent.Token -> takeToken(event)
+            is EngineEvent.Finished -> finish(event)
+            is EngineEvent.Broken -> StreamOutcome.Failed(reasonFor(event.error), event.error.message)
+        }
+
+    private fun takeToken(token: EngineEvent.Token): StreamOutcome? {
+        if (token.position < buffer.nextPosition) return null
+        if (token.position > buffer.nextPosition) {
+            return incomplete("position ${token.position} came instead of ${buffer.nextPosition}")
+        }
+        buffer.append(token.text)
+        val now = context.clock.nowMs()
+        lastTokenAtMs?.let { onInterTokenMs((now - it).toDouble()) }
+        lastTokenAtMs = now
+        return null
+    }
+
+    private fun finish(end: EngineEvent.Finished): StreamOutcome {
+        if (end.tokenCount != buffer.nextPosition) return incomplete("${end.tokenCount} tokens announced, ${buffer.nextPosition} came")
+        return StreamOutcome.Whole(end.tokenCount, end.finishReason)
+    }
+
+    private fun incomplete(detail: String) = StreamOutcome.Failed(FailureReason.INCOMPLETE_ANSWER, detail)
+
+    private fun reasonFor(error: PlatformError): FailureReason =
+        when (error) {
+            is PlatformError.NotSent, is PlatformError.NoAnswer -> FailureReason.ENGINE_LOST
+            is PlatformError.Rejected, is PlatformError.BadAnswer -> FailureReason.ENGINE_FAILED
+        }
+}
