--- /dev/null
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/ClaimTableSpec.kt
@@ -0,0 +1,60 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.ClaimId
+import io.knapweedferry.api.ClaimRef
+import io.knapweedferry.api.IdempotencyKey
+import io.knapweedferry.api.Incarnation
+import org.jetbrains.lincheck.datastructures.IntGen
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions
+import org.jetbrains.lincheck.datastructures.Operation
+import org.jetbrains.lincheck.datastructures.Param
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import kotlin.time.TimeSource
+
+/** Guards against a claim that is both dispatched and refused, whatever the order in which the two arrive. */
+@Param(name = "claim", gen = IntGen::class, conf = "1:2")
+internal class ClaimTableSpec {
+    private val table = ClaimTable(MonotonicClock(TimeSource.Monotonic), keepMs = 1_000_000)
+
+    @Operation
+    fun dispatch(
+        @Param(name = "claim") claim: Int,
+    ): String = table.dispatch(ref(claim)).toString()
+
+    @Operation
+    fun refuse(
+        @Param(name = "claim") claim: Int,
+    ): String = table.refuse(ref(claim)).toString()
+
+    @Operation
+    fun unanswered(
+        @Param(name = "claim") claim: Int,
+    ) = table.unanswered(ref(claim))
+
+    @Test
+    fun `operations are linearizable`() =
+        ModelCheckingOptions()
+            .iterations(20)
+            .invocationsPerIteration(500)
+            .threads(3)
+            .actorsPerThread(2)
+            .check(this::class)
+
+    @Test
+    fun `a claim that was dropped to bound memory counts as unknown, a newer one as new`() {
+        val small = ClaimTable(MonotonicClock(TimeSource.Monotonic), keepMs = 1_000_000, maxEntries = 1)
+        small.dispatch(ref(1, "01890000-0000-7000-8000-000000000000"))
+        small.unanswered(ref(1, "01890000-0000-7000-8000-000000000000"))
+        small.dispatch(ref(2, "01900000-0000-7000-8000-000000000000"))
+        assertEquals(ClaimEntry.Unknown, small.dispatch(ref(1, "01890000-0000-7000-8000-000000000000")))
+        assertEquals(ClaimEntry.Unknown, small.refuse(ref(3, "no-time")))
+        assertNull(small.dispatch(ref(4, "01910000-0000-7000-8000-000000000000")))
+    }
+
+    private fun ref(
+        claim: Int,
+        key: String = "k",
+    ) = ClaimRef(ClaimId("c$claim"), IdempotencyKey(key), 0, Incarnation("i"))
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/FakeSink.kt
@@ -0,0 +1,23 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.message.Message
+import io.knapweedferry.session.ReplySink
+import kotlinx.coroutines.CompletableDeferred
+
+/** Collects replies until its session is cut. */
+internal class FakeSink : ReplySink {
+    val received = mutableListOf<Message>()
+    private val closed = CompletableDeferred<Unit>()
+
+    fun cut() {
+        closed.complete(Unit)
+    }
+
+    override suspend fun send(message: Message): Boolean {
+        if (closed.isCompleted) return false
+        received += message
+        return true
+    }
+
+    override suspend fun awaitClosed() = closed.await()
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/SidecarSpec.kt
@@ -0,0 +1,97 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.Revision
+import io.knapweedferry.api.message.AnswerEnd
+import io.knapweedferry.api.message.ConfigOffer
+import io.knapweedferry.api.message.ConfigPull
+import io.knapweedferry.api.message.Describe
+import io.knapweedferry.api.message.Described
+import io.knapweedferry.config.state.ConfigState
+import io.knapweedferry.platform.engine.EngineRequestId
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.INCARNATION
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.decode
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.prefill
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.reserve
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.Json
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertInstanceOf
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Guards against a shutdown that interrupts work, and against engine memory that nobody frees after a restart. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class SidecarSpec {
+    @Test
+    fun `drain refuses new and waiting work and ends after work in progress`() =
+        runTest {
+            val fixture = SidecarFixture(this)
+            val stream = fixture.stream("a")
+            val lease = fixture.lease("b")
+            val waiting = fixture.start(reserve("c"))
+            val drain = backgroundScope.launch { fixture.sidecar.drain() }
+            runCurrent()
+            assertEquals(RefusalReason.ENDPOINT_LEAVING, waiting.refusal)
+            assertEquals(RefusalReason.ENDPOINT_LEAVING, fixture.start(reserve("d")).refusal)
+            assertEquals(RefusalReason.ENDPOINT_LEAVING, fixture.start(prefill("e")).refusal)
+            advanceTimeBy(50)
+            val late = fixture.start(decode(lease, "b"))
+            stream.job.join()
+            assertFalse(drain.isCompleted)
+            late.job.join()
+            runCurrent()
+            assertInstanceOf(AnswerEnd::class.java, late.received.last())
+            assertTrue(drain.isCompleted)
+        }
+
+    @Test
+    fun `drain waits for a stream in its grace period`() =
+        runTest {
+            val fixture = SidecarFixture(this)
+            fixture.stream().sink.cut()
+            val drain = backgroundScope.launch { fixture.sidecar.drain() }
+            advanceTimeBy(4_900)
+            assertFalse(drain.isCompleted)
+            advanceTimeBy(200)
+            assertTrue(drain.isCompleted)
+        }
+
+    @Test
+    fun `start cancels what the engine holds for other incarnations only`() =
+        runTest {
+            val fixture = SidecarFixture(this)
+            val own = EngineRequestId("${INCARNATION.value}.d.1.o.r")
+            fixture.engine.holding += listOf(own, EngineRequestId("former.d.1.o.r"))
+            fixture.engine.cancelErrors = 1
+            fixture.sidecar.start()
+            advanceTimeBy(1_000)
+            assertEquals(setOf(own), fixture.engine.holding)
+        }
+
+    @Test
+    fun `describe tells the load of each endpoint`() =
+        runTest {
+            val fixture = SidecarFixture(this)
+            fixture.lease()
+            val described = fixture.ask(Describe).single() as Described
+            assertEquals(INCARNATION to Revision(1), described.incarnation to described.revision)
+            assertEquals(LoadDigest(SidecarFixture.ENGINE, 1, 8, 0, 0, 0, 0, 0), described.loads.first())
+        }
+
+    @Test
+    fun `a configuration is offered to peers that are behind only`() =
+        runTest {
+            val fixture = SidecarFixture(this)
+            val behind = fixture.ask(ConfigPull(Revision.NONE)).single() as ConfigOffer
+            assertEquals(fixture.config?.state, behind.stateJson?.let { Json.decodeFromString(ConfigState.serializer(), it) })
+            assertNull((fixture.ask(ConfigPull(Revision(1))).single() as ConfigOffer).stateJson)
+        }
+}
