Fold and follow the configuration stream

Every process has to reach the same configuration from the same records, also after an outage of the log, a freeze or a join.

--- /dev/null
+++ b/knapweedferry-config/src/test/kotlin/io/knapweedferry/config/stream/MemoryLog.kt
@@ -0,0 +1,63 @@
+package io.knapweedferry.config.stream
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.StreamName
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.platform.log.AppendLog
+import io.knapweedferry.platform.log.LogPage
+import io.knapweedferry.platform.log.LogRecord
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Log in memory with the faults that the specs need. */
+internal class MemoryLog(
+    private val nowMs: () -> Long = { 0 },
+) : AppendLog {
+    private val all = MutableStateFlow(listOf<LogRecord>())
+    private var firstOffset = 0L
+
+    /** No call gets an answer while this is set. */
+    var down = false
+
+    val records: List<LogRecord> get() = all.value.filter { it.offset >= firstOffset }
+
+    override suspend fun append(
+        stream: StreamName,
+        payloads: List<String>,
+    ): Either<PlatformError, Long> {
+        if (down) return PlatformError.NoAnswer("the log is down").left()
+        return payloads.map { add(it) }.first().right()
+    }
+
+    override suspend fun read(
+        stream: StreamName,
+        fromOffset: Long,
+        maxRecords: Int,
+        waitMs: Long,
+    ): Either<PlatformError, LogPage> {
+        if (down) return PlatformError.NoAnswer("the log is down").left()
+        withTimeoutOrNull(waitMs) { all.first { it.size > fromOffset } }
+        if (down) return PlatformError.NoAnswer("the log is down").left()
+        return LogPage(firstOffset, all.value.size.toLong(), nowMs(), records.filter { it.offset >= fromOffset }.take(maxRecords)).right()
+    }
+
+    fun add(record: ConfigRecord): Long = add(RecordCodec.encode(record))
+
+    fun add(payload: String): Long {
+        val offset = all.value.size.toLong()
+        all.value += LogRecord(offset, nowMs(), payload)
+        return offset
+    }
+
+    /** Forgets everything, as a log that was restored from nothing would. */
+    fun lose() {
+        all.value = emptyList()
+    }
+
+    fun removeBefore(offset: Long) {
+        firstOffset = offset
+    }
+}
