--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/intent/FleetFile.kt
@@ -0,0 +1,24 @@
+package io.knapweedferry.config.intent
+
+import arrow.core.Either
+import io.knapweedferry.config.settings.SettingsLoader
+import io.knapweedferry.config.settings.SettingsProblem
+import io.knapweedferry.config.settings.TreeStyle
+import io.knapweedferry.config.state.ConfigState
+import java.nio.file.Path
+
+/**
+ * Reads a whole desired configuration from a TOML file: tables `models`, `services`, `work`, `ranks`, `organisations` and
+ * `endpoints`, with keys in snake_case and roles and ranks in lower case.
+ */
+public object FleetFile {
+    /** Reads [file]; all faults are reported together. */
+    public fun read(file: Path): Either<List<SettingsProblem>, ConfigState> =
+        SettingsLoader.load(file, ConfigState.serializer(), TreeStyle.FLEET)
+
+    /** Reads [text]; [name] only names the source in messages. */
+    public fun parse(
+        name: String,
+        text: String,
+    ): Either<List<SettingsProblem>, ConfigState> = SettingsLoader.parse(name, text, ConfigState.serializer(), TreeStyle.FLEET)
+}
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/intent/PlanWarningCode.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/intent/PlanWarningCode.kt
@@ -25,6 +25,10 @@
     @SerialName("pause_in_service")
     PAUSE_IN_SERVICE(false),
 
+    /** More than half of the endpoints of a role leave at once. */
+    @SerialName("capacity_drop")
+    CAPACITY_DROP(false),
+
     /** The platform does not list the endpoint. */
     @SerialName("endpoint_not_listed")
     ENDPOINT_NOT_LISTED(false),
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/intent/StateCheck.kt
@@ -0,0 +1,117 @@
+package io.knapweedferry.config.intent
+
+import io.knapweedferry.config.settings.TextForm
+import io.knapweedferry.config.state.ConfigState
+import io.knapweedferry.config.state.EndpointAssignment
+import io.knapweedferry.config.state.EndpointRole
+
+/** Finds the first entry of a configuration that names something absent or holds an impossible value. */
+internal class StateCheck(
+    private val state: ConfigState,
+) {
+    fun problem(): IntentProblem? = models() ?: services() ?: work() ?: ranks() ?: organisations() ?: endpoints()
+
+    private fun models(): IntentProblem? =
+        state.models.firstProblem { (name, policy) ->
+            when {
+                !TextForm.NAME.accepts(name.value) -> invalid("the model name \"${name.value}\" is not valid; use ${TextForm.NAME.remedy}")
+                policy.version.isBlank() -> invalid("model ${name.value} has no version; name the version to load")
+                policy.contextTokens <= 0 -> invalid("model ${name.value} has no context length; set it to the tokens that it takes")
+                else -> null
+            }
+        }
+
+    private fun services(): IntentProblem? =
+        state.services.firstProblem { (name, policy) ->
+            when {
+                !TextForm.NAME.accepts(name.value) ->
+                    invalid("the service name \"${name.value}\" is not valid; use ${TextForm.NAME.remedy}")
+
+                policy.operations.isEmpty() -> invalid("service ${name.value} has no operations; name at least one")
+
+                policy.operations.values.any { it.timeoutMs <= 0 } ->
+                    invalid("service ${name.value} has an operation without time to answer; set its timeout above 0")
+
+                else -> null
+            }
+        }
+
+    private fun work(): IntentProblem? =
+        state.work.firstProblem { (name, policy) ->
+            if (policy.model in state.models) {
+                null
+            } else {
+                unknownModel("work ${name.value} uses model ${policy.model.value}, which is not configured")
+            }
+        }
+
+    private fun ranks(): IntentProblem? {
+        val bad =
+            state.ranks.firstProblem { (rank, policy) ->
+                val times = listOf(policy.firstTokenTargetMs, policy.interTokenTargetMs, policy.deadlineMs)
+                when {
+                    times.any { it <= 0 } -> invalid("rank $rank has a target or deadline of 0 or less; set it above 0")
+                    policy.floorPercent !in 0..ALL_PERCENT -> invalid("rank $rank has a floor out of range; set it from 0 to 100")
+                    else -> null
+                }
+            }
+        if (bad != null) return bad
+        val sum = state.ranks.values.sumOf { it.floorPercent }
+        return if (sum <= ALL_PERCENT) null else invalid("the floors of all ranks add up to $sum percent; lower them to 100 or less")
+    }
+
+    private fun organisations(): IntentProblem? =
+        state.organisations.firstProblem { (name, policy) ->
+            val unknown = policy.models.firstOrNull { it !in state.models }
+            when {
+                policy.apiKeySha256.any { !TextForm.SHA256.accepts(it) } ->
+                    invalid("organisation ${name.value} has an invalid key hash; use ${TextForm.SHA256.remedy}")
+
+                unknown != null -> unknownModel("organisation ${name.value} may use model ${unknown.value}, which is not configured")
+
+                else -> null
+            }
+        }
+
+    private fun endpoints(): IntentProblem? =
+        state.endpoints.firstProblem { (id, assignment) ->
+            val name = id.value
+            when {
+                !TextForm.NAME.accepts(name) -> invalid("the endpoint id \"$name\" is not valid; use ${TextForm.NAME.remedy}")
+                assignment.role == EndpointRole.SERVICE -> service(name, assignment)
+                else -> engine(name, assignment)
+            }
+        }
+
+    private fun service(
+        name: String,
+        assignment: EndpointAssignment,
+    ): IntentProblem? {
+        val service = assignment.service ?: return invalid("endpoint $name has role SERVICE but no service; name the service")
+        if (assignment.model != null) return invalid("endpoint $name has role SERVICE and a model; leave the model out")
+        if (service in state.services) return null
+        val text = "endpoint $name serves ${service.value}, which is not configured; configure the service first"
+        return IntentProblem(IntentProblemCode.UNKNOWN_SERVICE, text)
+    }
+
+    private fun engine(
+        name: String,
+        assignment: EndpointAssignment,
+    ): IntentProblem? {
+        val model = assignment.model ?: return invalid("endpoint $name has role ${assignment.role} but no model; name the model")
+        if (assignment.service != null) return invalid("endpoint $name has role ${assignment.role} and a service; leave the service out")
+        return if (model in state.models) null else unknownModel("endpoint $name serves model ${model.value}, which is not configured")
+    }
+
+    private fun unknownModel(text: String): IntentProblem =
+        IntentProblem(IntentProblemCode.UNKNOWN_MODEL, "$text; configure the model first or use another")
+
+    private fun invalid(text: String): IntentProblem = IntentProblem(IntentProblemCode.INVALID_VALUE, text)
+
+    private fun <K, V> Map<K, V>.firstProblem(check: (Map.Entry<K, V>) -> IntentProblem?): IntentProblem? =
+        entries.firstNotNullOfOrNull(check)
+
+    private companion object {
+        const val ALL_PERCENT = 100
+    }
+}
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SettingsLoader.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SettingsLoader.kt
@@ -66,6 +66,7 @@
     public fun <T> load(
         file: Path,
         serializer: KSerializer<T>,
+        style: TreeStyle = TreeStyle.SETTINGS,
     ): Either<List<SettingsProblem>, T> {
         val text =
             try {
@@ -73,7 +74,7 @@
             } catch (fault: IOException) {
                 return listOf(unreadable(file, fault)).left()
             }
-        return parse(file.toString(), text, serializer)
+        return parse(file.toString(), text, serializer, style)
     }
 
     /** Reads [text] as the class of [serializer]; [file] only names the source in messages. */
@@ -81,29 +82,32 @@
         file: String,
         text: String,
         serializer: KSerializer<T>,
+        style: TreeStyle = TreeStyle.SETTINGS,
     ): Either<List<SettingsProblem>, T> =
         TomlTree
             .parse(text)
             .mapLeft { listOf(SettingsProblem(file, "", "is not valid TOML: $it", "correct the syntax")) }
-            .flatMap { tree -> check(file, tree, serializer) }
+            .flatMap { tree -> check(file, tree, serializer, style) }
 
     private fun <T> check(
         file: String,
         tree: JsonObject,
         serializer: KSerializer<T>,
+        style: TreeStyle,
     ): Either<List<SettingsProblem>, T> {
-        val problems = TreeCheck(file).problems(tree, serializer.descriptor)
+        val problems = TreeCheck(file, style).problems(tree, serializer.descriptor)
         if (problems.isNotEmpty()) return problems.left()
-        return decode(file, tree, serializer)
+        return decode(file, tree, serializer, style.json)
     }
 
     private fun <T> decode(
         file: String,
         tree: JsonObject,
         serializer: DeserializationStrategy<T>,
+        json: Json,
     ): Either<List<SettingsProblem>, T> =
         try {
-            Json.decodeFromJsonElement(serializer, tree).right()
+            json.decodeFromJsonElement(serializer, tree).right()
         } catch (fault: SerializationException) {
             listOf(SettingsProblem(file, "", "cannot be read: ${fault.message}", "correct the value")).left()
         }
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/TomlTree.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/TomlTree.kt
@@ -2,9 +2,10 @@
 
 import arrow.core.Either
 import arrow.core.left
-import arrow.core.right
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
 import com.akuleshov7.ktoml.TomlInputConfig
-import com.akuleshov7.ktoml.exceptions.TomlDecodingException
 import com.akuleshov7.ktoml.parsers.TomlParser
 import com.akuleshov7.ktoml.tree.nodes.TableType
 import com.akuleshov7.ktoml.tree.nodes.TomlArrayOfTablesElement
@@ -30,12 +31,19 @@
     /** Parses [text]; the left side says what is wrong with it. */
     public fun parse(text: String): Either<String, JsonObject> =
         try {
-            tableOf(TomlParser(config).parseString(text)).right()
-        } catch (fault: TomlDecodingException) {
+            val file = TomlParser(config).parseString(text)
+            either { tableOf(file) }
+        } catch (fault: IllegalArgumentException) {
+            // ktoml's own faults are of this type, and some malformed texts raise it from its string functions.
             (fault.message ?: "is not valid TOML").left()
+        } catch (fault: StringIndexOutOfBoundsException) {
+            (fault.message ?: "is not valid TOML").left()
+        } catch (_: StackOverflowError) {
+            // ktoml 0.7.1 recurses without end on an array that is not closed; its parser keeps no state to be damaged.
+            "an array is not closed".left()
         }
 
-    private fun tableOf(node: TomlNode): JsonObject {
+    private fun Raise<String>.tableOf(node: TomlNode): JsonObject {
         val entries = LinkedHashMap<String, JsonElement>()
         for (child in node.children) {
             val value =
@@ -45,12 +53,15 @@
                     is TomlKeyValueArray -> valueOf(child.value)
                     else -> continue
                 }
-            entries[nameOf(child)] = value
+            val name = nameOf(child)
+            // ktoml keeps the last of several equal keys; a file that sets one twice is more likely a mistake.
+            ensure(name !in entries) { "Line ${child.lineNo}: $name is set more than once" }
+            entries[name] = value
         }
         return JsonObject(entries)
     }
 
-    private fun arrayOf(table: TomlTable): JsonArray =
+    private fun Raise<String>.arrayOf(table: TomlTable): JsonArray =
         JsonArray(table.children.filterIsInstance<TomlArrayOfTablesElement>().map { tableOf(it) })
 
     private fun nameOf(node: TomlNode): String = node.name.trim('"', '\'')
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/TreeCheck.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/TreeCheck.kt
@@ -18,6 +18,7 @@
 @OptIn(ExperimentalSerializationApi::class)
 internal class TreeCheck(
     private val file: String,
+    private val style: TreeStyle,
 ) {
     private val found = mutableListOf<SettingsProblem>()
 
@@ -35,7 +36,7 @@
         descriptor: SerialDescriptor,
         path: String,
     ) {
-        val known = descriptor.elementNames.toList()
+        val known = descriptor.elementNames.map(style.nameOf)
         for ((name, value) in tree) {
             val index = known.indexOf(name)
             if (index < 0) {
@@ -67,8 +68,12 @@
 
             StructureKind.MAP -> {
                 if (value !is JsonObject) return report(path, "is not a table", "write it as the section [$path]")
+                val key = descriptor.getElementDescriptor(0)
                 val element = descriptor.getElementDescriptor(1)
-                for ((name, item) in value) checkValue(item, element, rules, join(path, name))
+                for ((name, item) in value) {
+                    checkScalar(JsonPrimitive(name), unwrap(key), emptyList(), join(path, name))
+                    checkValue(item, element, rules, join(path, name))
+                }
             }
 
             else -> checkScalar(value, descriptor, rules, path)
@@ -96,7 +101,7 @@
         path: String,
     ) {
         if (value !is JsonPrimitive || value is JsonNull || !hasType(value, descriptor)) {
-            return report(path, "has the wrong type", "set it to ${typeName(descriptor)}")
+            return report(path, "has the wrong type", "set it to ${typeName(descriptor, style)}")
         }
         for (rule in rules) {
             if (rule is InRange && value.longOrNull?.let { it in rule.min..rule.max } != true) {
@@ -118,7 +123,7 @@
             PrimitiveKind.INT -> !value.isString && value.longOrNull?.let { it in Int.MIN_VALUE..Int.MAX_VALUE } == true
             PrimitiveKind.LONG -> !value.isString && value.longOrNull != null
             PrimitiveKind.DOUBLE -> !value.isString && value.doubleOrNull != null
-            SerialKind.ENUM -> value.isString && value.content in descriptor.elementNames
+            SerialKind.ENUM -> value.isString && value.content in descriptor.elementNames.map(style::constantOf)
             else -> false
         }
 
@@ -127,7 +132,7 @@
         index: Int,
     ): String {
         val form = descriptor.getElementAnnotations(index).filterIsInstance<TextRule>().firstOrNull()
-        return form?.form?.remedy ?: typeName(unwrap(descriptor.getElementDescriptor(index)))
+        return form?.form?.remedy ?: typeName(unwrap(descriptor.getElementDescriptor(index)), style)
     }
 
     private fun report(
@@ -146,13 +151,16 @@
             if (descriptor.isInline) unwrap(descriptor.getElementDescriptor(0)) else descriptor
 
         /** Type as the messages and the settings page name it. */
-        fun typeName(descriptor: SerialDescriptor): String =
+        fun typeName(
+            descriptor: SerialDescriptor,
+            style: TreeStyle = TreeStyle.SETTINGS,
+        ): String =
             when (descriptor.kind) {
                 PrimitiveKind.STRING -> "a text in quotes"
                 PrimitiveKind.BOOLEAN -> "true or false"
                 PrimitiveKind.INT, PrimitiveKind.LONG -> "a whole number"
                 PrimitiveKind.DOUBLE -> "a number"
-                SerialKind.ENUM -> "one of: ${descriptor.elementNames.joinToString { "\"$it\"" }}"
+                SerialKind.ENUM -> "one of: ${descriptor.elementNames.joinToString { "\"${style.constantOf(it)}\"" }}"
                 StructureKind.LIST -> "a list"
                 else -> "a table"
             }
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFold.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFold.kt
@@ -125,8 +125,8 @@
         step: Int,
         failure: String?,
     ): FoldState {
-        val rollout = state.rollout
-        if (rollout == null || rollout.plan != plan || step !in rollout.steps.indices || step in rollout.applied) return state
+        val rollout = state.rollout?.takeIf { it.plan == plan } ?: return state
+        if (step !in rollout.steps.indices || step in rollout.applied) return state
         val changed =
             if (failure == null) {
                 rollout.copy(applied = rollout.applied + step, failed = rollout.failed - step)
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFollower.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFollower.kt
@@ -13,7 +13,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
@@ -23,7 +22,6 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import java.time.Clock
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeMark
@@ -51,15 +49,10 @@
     private val schedule = SnapshotSchedule(settings)
     private val folds = MutableStateFlow<FoldState?>(null)
     private val wakes = Channel<Unit>(Channel.CONFLATED)
-    private val freezes = AtomicInteger()
+    private val freezeWatch = FreezeWatch(settings.tickMs, settings.frozenAfterMs, timeSource)
 
     @Volatile private var published: Published? = null
 
-    @Volatile private var lastTick: TimeMark = timeSource.markNow()
-
-    /** Number of freezes that were seen before the newest complete read began. */
-    @Volatile private var freezesAnswered = 0
-
     @Volatile private var hinted = Revision.NONE
     private var snapshotDueAt: TimeMark? = null
 
@@ -67,10 +60,10 @@
     public val states: StateFlow<FoldState?> = folds.asStateFlow()
 
     /** Newest configuration, or null while there is none or while the process has to read again after it was frozen. */
-    override fun current(): ConfigSnapshot? = published?.snapshot?.takeIf { isFresh() }
+    override fun current(): ConfigSnapshot? = published?.snapshot?.takeIf { freezeWatch.isFresh }
 
     /** Newest fold under the same condition as [current]. */
-    public fun currentFold(): FoldState? = published?.fold?.takeIf { isFresh() }
+    public fun currentFold(): FoldState? = published?.fold?.takeIf { freezeWatch.isFresh }
 
     /** Answers a peer that asks for a configuration newer than [newerThan]. */
     public fun offer(newerThan: Revision): ConfigOffer {
@@ -93,24 +86,14 @@
     /** Follows the log until it is cancelled. */
     public suspend fun run(): Unit =
         coroutineScope {
-            launch { watchClock() }
-            follow()
-        }
-
-    private suspend fun watchClock() {
-        while (true) {
-            val gapMs = lastTick.elapsedNow().inWholeMilliseconds
-            if (gapMs > settings.frozenAfterMs) {
-                freezes.incrementAndGet()
-                listener(FollowerEvent.Frozen(gapMs))
-                wakes.trySend(Unit)
+            launch {
+                freezeWatch.run { gapMs ->
+                    listener(FollowerEvent.Frozen(gapMs))
+                    wakes.trySend(Unit)
+                }
             }
-            lastTick = timeSource.markNow()
-            delay(settings.tickMs)
+            follow()
         }
-    }
-
-    private fun isFresh(): Boolean = freezesAnswered == freezes.get() && lastTick.elapsedNow().inWholeMilliseconds <= settings.frozenAfterMs
 
     private suspend fun follow(): Unit =
         coroutineScope {
@@ -128,9 +111,9 @@
 
     /** Reads one page and folds it; false if the log did not help. */
     private suspend fun readOnce(): Boolean {
-        val freezesSeen = freezes.get()
+        val freezesSeen = freezeWatch.count
         val fold = folds.value ?: return join(freezesSeen)
-        val urgent = freezesAnswered != freezesSeen || hinted > fold.revision
+        val urgent = !freezeWatch.isFresh || hinted > fold.revision
         val result = readPage(fold.foldedOffset + 1, if (urgent) 0 else settings.pollWaitMs) ?: return true
         return result.fold(
             ifLeft = { failed(it) },
@@ -179,15 +162,16 @@
         freezesSeen: Int,
     ): Boolean {
         var fold = start
-        while (true) {
-            val page = readPage(fold.foldedOffset + 1, 0)?.fold(ifLeft = { return failed(it) }, ifRight = { it }) ?: continue
+        var nextOffset = Long.MAX_VALUE
+        while (fold.foldedOffset + 1 < nextOffset) {
+            val page = readPage(fold.foldedOffset + 1, 0)?.fold(ifLeft = { return failed(it) }, ifRight = { it }) ?: return false
             if (page.firstOffset > fold.foldedOffset + 1) return false
             fold = foldAll(fold, page.records)
-            if (fold.foldedOffset + 1 < page.nextOffset && page.records.isNotEmpty()) continue
-            if (!publish(fold)) return false
-            freezesAnswered = freezesSeen
-            return true
+            nextOffset = if (page.records.isEmpty()) 0 else page.nextOffset
         }
+        if (!publish(fold)) return false
+        freezeWatch.answer(freezesSeen)
+        return true
     }
 
     private suspend fun accept(
@@ -204,7 +188,7 @@
         val next = foldAll(fold, page.records)
         publish(next)
         if (next.foldedOffset + 1 >= page.nextOffset) {
-            freezesAnswered = freezesSeen
+            freezeWatch.answer(freezesSeen)
             hinted = next.revision
             renewSnapshot(page)
         }
@@ -238,13 +222,13 @@
     }
 
     private suspend fun pullFromPeer() {
-        val freezesSeen = freezes.get()
+        val freezesSeen = freezeWatch.count
         val known = folds.value
         val offer = withTimeoutOrNull(settings.timeoutMs) { peers.pull(known?.revision ?: Revision.NONE) } ?: return
         val fold = offer.stateJson?.let { RecordCodec.decodeFold(it) }
         if (fold != null && publish(fold)) listener(FollowerEvent.PulledFromPeer(fold.revision))
         // A peer without a configuration of its own says nothing about how old this one is.
-        if (offer.revision > Revision.NONE) freezesAnswered = freezesSeen
+        if (offer.revision > Revision.NONE) freezeWatch.answer(freezesSeen)
     }
 
     private suspend fun renewSnapshot(page: LogPage) {
