--- a/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/ClaimRef.kt
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/ClaimRef.kt
@@ -10,4 +10,6 @@
     val offset: Long,
     /** Incarnation of the sidecar that may dispatch; any other refuses. */
     val incarnation: Incarnation,
+    /** Stream that holds the claim, and its void if there is one. */
+    val stream: StreamName,
 )
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/DaemonCommand.kt
@@ -0,0 +1,58 @@
+package io.knapweedferry.daemon.command
+
+import arrow.core.Either
+import io.knapweedferry.config.settings.SettingsProblem
+import io.knapweedferry.daemon.process.DaemonProcess
+import io.knapweedferry.daemon.process.DaemonRunner
+import io.knapweedferry.telemetry.EventFormat
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.ExitCode
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+/** Options and steps that both roles share: read the settings, check or print them, or run until a signal. */
+@OptIn(ExperimentalCli::class)
+internal abstract class DaemonCommand<S>(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    private val config by option(ArgType.String, "config", description = "settings file in TOML").required()
+    private val check by option(ArgType.Boolean, "check", description = "validate the settings and exit").default(false)
+    private val printConfig by option(
+        ArgType.Boolean,
+        "print-config",
+        description = "print the effective settings without secrets and exit",
+    ).default(false)
+    private val logFormat by option(ArgType.Choice<EventFormat>(), "log-format", description = "form of log lines").default(EventFormat.TEXT)
+
+    /** Reads and validates the settings file, and the files that it names. */
+    protected abstract fun load(file: Path): Either<List<SettingsProblem>, S>
+
+    /** Effective settings as text, without secrets. */
+    protected abstract fun print(settings: S): String
+
+    /** Builds the process; nothing listens yet. */
+    protected abstract fun create(
+        settings: S,
+        events: EventLog,
+    ): DaemonProcess
+
+    override fun execute() {
+        val settings = load(Path.of(config)).fold({ return reject(it) }, { it })
+        when {
+            printConfig -> println(print(settings))
+            check -> println("$config: settings are valid")
+            else -> exitProcess(DaemonRunner(EventLog(logFormat)) { create(settings, it) }.run().code)
+        }
+    }
+
+    private fun reject(problems: List<SettingsProblem>) {
+        problems.forEach { System.err.println(it.message) }
+        exitProcess(ExitCode.BAD_SETTINGS.code)
+    }
+}
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/EntryCommand.kt
@@ -0,0 +1,36 @@
+package io.knapweedferry.daemon.command
+
+import arrow.core.Either
+import arrow.core.flatMap
+import io.knapweedferry.config.settings.EntrySettings
+import io.knapweedferry.config.settings.SettingsLoader
+import io.knapweedferry.config.settings.SettingsPrinter
+import io.knapweedferry.config.settings.SettingsProblem
+import io.knapweedferry.daemon.process.DaemonProcess
+import io.knapweedferry.daemon.process.EntryProcess
+import io.knapweedferry.session.SessionKey
+import io.knapweedferry.telemetry.EventLog
+import java.nio.file.Path
+
+/** `knapweedferryd entry`. */
+internal class EntryCommand : DaemonCommand<EntryCommand.Loaded>("entry", "Run the HTTP front for callers and operators") {
+    internal class Loaded(
+        val settings: EntrySettings,
+        val key: SessionKey,
+    )
+
+    override fun load(file: Path): Either<List<SettingsProblem>, Loaded> =
+        SettingsLoader.entry(file).flatMap { settings ->
+            SettingsLoader
+                .sessionKey(settings.session.keyFile)
+                .mapLeft { listOf(it) }
+                .map { Loaded(settings, SessionKey(it)) }
+        }
+
+    override fun print(settings: Loaded): String = SettingsPrinter.print(EntrySettings.serializer(), settings.settings)
+
+    override fun create(
+        settings: Loaded,
+        events: EventLog,
+    ): DaemonProcess = EntryProcess(settings.settings, settings.key, events)
+}
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/ClaimRecords.kt
@@ -0,0 +1,9 @@
+package io.knapweedferry.daemon.process
+
+import io.knapweedferry.policy.claim.ClaimRecord
+import kotlinx.serialization.json.Json
+
+/** Form of claim records in the log. */
+internal object ClaimRecords {
+    fun encode(record: ClaimRecord): String = Json.encodeToString(ClaimRecord.serializer(), record)
+}
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/DaemonRunner.kt
@@ -0,0 +1,68 @@
+package io.knapweedferry.daemon.process
+
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.ExitCode
+import io.knapweedferry.telemetry.LogEvent
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
+import java.net.BindException
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Runs a daemon until SIGTERM or SIGINT; the first signal drains, a second one ends at once. */
+internal class DaemonRunner(
+    private val events: EventLog,
+    private val create: (EventLog) -> DaemonProcess,
+) {
+    private val signals = AtomicInteger()
+    private val stopRequested = CompletableDeferred<Unit>()
+
+    fun run(): ExitCode =
+        runBlocking {
+            val process = create(events)
+            events.write(LogEvent.PROCESS_STARTING, "process" to process.name)
+            watchSignals(process)
+            try {
+                process.start()
+            } catch (failure: java.io.IOException) {
+                return@runBlocking failedToListen(failure)
+            } catch (failure: RuntimeException) {
+                return@runBlocking failedToListen(failure)
+            }
+            events.write(LogEvent.PROCESS_STARTED, "process" to process.name)
+            stopRequested.await()
+            shutDown(process)
+        }
+
+    private suspend fun shutDown(process: DaemonProcess): ExitCode {
+        events.write(LogEvent.SHUTDOWN_STARTED, "in_progress" to process.inProgress)
+        val drained = process.drain(process.drainTimeoutMs)
+        if (drained) events.write(LogEvent.SHUTDOWN_DRAINED) else events.write(LogEvent.SHUTDOWN_TIMED_OUT, "cut" to process.inProgress)
+        process.stop()
+        events.write(LogEvent.PROCESS_STOPPED, "process" to process.name)
+        return if (drained) ExitCode.STOPPED else ExitCode.DRAIN_TIMED_OUT
+    }
+
+    /** The JVM's own shutdown hooks cannot tell a second signal from the first, so signals are handled here. */
+    private fun watchSignals(process: DaemonProcess) {
+        listOf("TERM", "INT").forEach { name ->
+            Signal.handle(Signal(name)) {
+                if (signals.incrementAndGet() == 1) {
+                    stopRequested.complete(Unit)
+                } else {
+                    events.write(LogEvent.SHUTDOWN_FORCED, "cut" to process.inProgress)
+                    Runtime.getRuntime().halt(ExitCode.DRAIN_TIMED_OUT.code)
+                }
+            }
+        }
+    }
+
+    private fun failedToListen(failure: Exception): ExitCode {
+        if (generateSequence<Throwable>(failure) { it.cause }.any { it is BindException }) {
+            events.write(LogEvent.PORT_IN_USE, "detail" to failure.message)
+            return ExitCode.PORT_IN_USE
+        }
+        events.write(LogEvent.UNCAUGHT_ERROR, "detail" to failure.toString())
+        return ExitCode.FAILED
+    }
+}
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/MeteredSidecar.kt
@@ -0,0 +1,25 @@
+package io.knapweedferry.daemon.process
+
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.sidecar.server.SidecarCounters
+import io.knapweedferry.telemetry.RouterMetrics
+
+/** Counts what a sidecar reports. */
+internal class MeteredSidecar(
+    private val metrics: RouterMetrics,
+) : SidecarCounters {
+    override fun refused(reason: RefusalReason) {
+        metrics.refused(reason)
+    }
+
+    override fun attemptFailed(reason: FailureReason) {
+        metrics.failed(reason)
+    }
+
+    override fun leaseLapsed(): Unit = Unit
+
+    override fun engineCancelFailed(): Unit = Unit
+
+    override fun leftoverCancelled(): Unit = Unit
+}
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarHttp.kt
@@ -0,0 +1,37 @@
+package io.knapweedferry.daemon.process
+
+import io.javalin.Javalin
+
+/** Health and metrics of a sidecar; started only if an address is set, because the server costs memory. */
+internal class SidecarHttp(
+    private val address: String,
+    private val isReady: () -> Boolean,
+    private val scrape: () -> String,
+) {
+    private val javalin by lazy {
+        Javalin.create { config ->
+            config.startup.showJavalinBanner = false
+            config.jetty.host = address.substringBeforeLast(':')
+            config.jetty.port = address.substringAfterLast(':').toInt()
+            config.routes.get("/health/live") { it.result("live") }
+            config.routes.get("/health/ready") { ctx ->
+                val ready = isReady()
+                ctx.status(if (ready) STATUS_OK else STATUS_UNAVAILABLE).result(if (ready) "ready" else "not ready")
+            }
+            config.routes.get("/metrics") { it.contentType("text/plain; version=0.0.4").result(scrape()) }
+        }
+    }
+
+    fun start() {
+        javalin.start()
+    }
+
+    fun stop() {
+        javalin.stop()
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
@@ -0,0 +1,180 @@
+package io.knapweedferry.daemon.process
+
+import io.knapweedferry.api.ClaimRef
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.config.settings.EndpointKindName
+import io.knapweedferry.config.settings.EndpointSettings
+import io.knapweedferry.config.settings.GatePolicyName
+import io.knapweedferry.config.settings.SidecarSettings
+import io.knapweedferry.config.stream.ConfigFollower
+import io.knapweedferry.config.stream.FollowerSettings
+import io.knapweedferry.entry.observe.FollowerEvents
+import io.knapweedferry.platform.engine.HttpEngine
+import io.knapweedferry.platform.http.HttpTransport
+import io.knapweedferry.platform.instance.HttpInstanceList
+import io.knapweedferry.platform.log.HttpAppendLog
+import io.knapweedferry.platform.service.HttpService
+import io.knapweedferry.policy.admission.AdmissionGate
+import io.knapweedferry.policy.admission.FifoGate
+import io.knapweedferry.policy.admission.GateLimits
+import io.knapweedferry.policy.admission.RankedGate
+import io.knapweedferry.policy.admission.RankedGateSettings
+import io.knapweedferry.policy.claim.ClaimRecord
+import io.knapweedferry.session.ConfigPuller
+import io.knapweedferry.session.SessionKey
+import io.knapweedferry.session.SessionServer
+import io.knapweedferry.session.SessionSettings
+import io.knapweedferry.session.Sessions
+import io.knapweedferry.sidecar.server.ClaimVoider
+import io.knapweedferry.sidecar.server.EndpointDefinition
+import io.knapweedferry.sidecar.server.Sidecar
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+import io.knapweedferry.telemetry.RouterMetrics
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+import io.knapweedferry.sidecar.server.SidecarSettings as ServerSettings
+
+/** A sidecar under the runner: sessions towards entries, engines and services on the other side. */
+internal class SidecarProcess(
+    private val settings: SidecarSettings,
+    key: SessionKey,
+    private val events: EventLog,
+) : DaemonProcess {
+    private val scope =
+        CoroutineScope(
+            SupervisorJob() + Dispatchers.Default +
+                CoroutineExceptionHandler { _, error -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to error.toString()) },
+        )
+    private val metrics = RouterMetrics()
+    private val transport = HttpTransport()
+    private val log = HttpAppendLog(transport, settings.platform.logUrl, settings.platform.timeoutMs)
+    private val instances = HttpInstanceList(transport, settings.platform.instanceListUrl, settings.platform.timeoutMs)
+    private val sessionSettings =
+        SessionSettings(
+            processId = settings.process.id,
+            key = key,
+            heartbeatIntervalMs = settings.session.heartbeatIntervalMs,
+            heartbeatTimeoutMs = settings.session.heartbeatTimeoutMs,
+            maxFrameBytes = settings.session.maxFrameBytes,
+            connectTimeoutMs = settings.session.connectTimeoutMs,
+        )
+    private val sessions = Sessions.client(sessionSettings)
+
+    @Volatile
+    private var peers: List<String> = emptyList()
+    private val follower =
+        ConfigFollower(
+            log = log,
+            peers = { newerThan -> ConfigPuller(sessions, { peers }).pull(newerThan) },
+            settings =
+                FollowerSettings(
+                    settings.process.id,
+                    pollWaitMs = settings.platform.pollWaitMs,
+                    timeoutMs = settings.platform.timeoutMs,
+                    appendsSnapshots = false,
+                ),
+            listener = FollowerEvents(events),
+        )
+    private val serverSettings =
+        ServerSettings(
+            processId = settings.process.id,
+            incarnation = Incarnations.random(),
+            leaseMs = settings.gate.leaseMs,
+            graceMs = settings.gate.graceMs,
+            outcomeKeepMs = settings.gate.outcomeKeepMs,
+        )
+    private val sidecar =
+        Sidecar(
+            settings = serverSettings,
+            definitions = settings.endpoints.map(::definition),
+            gates = ::gate,
+            config = follower,
+            voider = ClaimVoider(::appendVoid),
+            scope = scope,
+            counters = MeteredSidecar(metrics),
+        )
+    private var server: SessionServer? = null
+    private val http = settings.http.address?.let { SidecarHttp(it, { follower.current() != null }, metrics::scrape) }
+
+    override val name: String get() = settings.process.id.value
+
+    override val drainTimeoutMs: Long get() = settings.shutdown.drainTimeoutMs
+
+    override val inProgress: Int get() = sidecar.inProgress
+
+    override suspend fun start() {
+        // The port comes first: a second sidecar on this instance must fail before it speaks to an engine.
+        server = Sessions.server(sessionSettings, sidecar, settings.session.address)
+        scope.launch { follower.run() }
+        scope.launch { followInstances() }
+        sidecar.start()
+        http?.start()
+    }
+
+    override suspend fun drain(timeoutMs: Long): Boolean =
+        withTimeoutOrNull(timeoutMs.milliseconds) {
+            sidecar.drain()
+            true
+        } ?: false
+
+    override suspend fun stop() {
+        server?.close()
+        http?.stop()
+        scope.cancel()
+        sessions.close()
+        transport.close()
+    }
+
+    private suspend fun followInstances() {
+        while (true) {
+            instances.list().onRight { listed -> peers = listed.map { it.sessionAddress } - settings.session.address }
+            delay(PEER_REFRESH_MS.milliseconds)
+        }
+    }
+
+    private suspend fun appendVoid(claim: ClaimRef) =
+        log
+            .append(claim.stream, listOf(void(claim, settings.process.id)))
+            .map { }
+
+    private fun void(
+        claim: ClaimRef,
+        by: ProcessId,
+    ): String = ClaimRecords.encode(ClaimRecord.Void(claim.claimId, claim.key, by))
+
+    private fun definition(endpoint: EndpointSettings): EndpointDefinition {
+        val limits = GateLimits(endpoint.slots, endpoint.pieces, endpoint.queueLimit)
+        return when (endpoint.kind) {
+            EndpointKindName.ENGINE ->
+                EndpointDefinition.OfEngine(
+                    id = endpoint.id,
+                    engine = HttpEngine(transport, endpoint.url),
+                    decodeLimits = limits,
+                    prefillLimits = GateLimits(PREFILL_SLOTS, endpoint.pieces, endpoint.queueLimit),
+                    pieceTokens = endpoint.pieceTokens,
+                )
+            EndpointKindName.SERVICE ->
+                EndpointDefinition.OfService(endpoint.id, HttpService(transport, endpoint.url), limits)
+        }
+    }
+
+    private fun gate(limits: GateLimits): AdmissionGate {
+        if (settings.gate.policy == GatePolicyName.FIFO) return FifoGate(limits)
+        val ranks = follower.current()?.state?.ranks.orEmpty()
+        return RankedGate(limits, RankedGateSettings(floorPercent = ranks.mapValues { it.value.floorPercent }))
+    }
+
+    private companion object {
+        /** A prefill fills the engine's compute, so more at once would only delay each other. */
+        const val PREFILL_SLOTS = 2
+        const val PEER_REFRESH_MS = 10_000L
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -0,0 +1,113 @@
+package io.knapweedferry.entry
+
+import io.knapweedferry.config.settings.EntrySettings
+import io.knapweedferry.config.settings.PlacementPolicyName
+import io.knapweedferry.config.stream.ConfigFollower
+import io.knapweedferry.entry.claim.ClaimService
+import io.knapweedferry.entry.fleet.FleetView
+import io.knapweedferry.entry.fleet.IncarnationCache
+import io.knapweedferry.entry.fleet.LoadBoard
+import io.knapweedferry.entry.http.ChatRoute
+import io.knapweedferry.entry.http.ModelsRoute
+import io.knapweedferry.entry.http.RouteGroup
+import io.knapweedferry.entry.http.ServiceRoute
+import io.knapweedferry.entry.observe.RequestObservers
+import io.knapweedferry.entry.pipeline.Authenticator
+import io.knapweedferry.entry.pipeline.CancelNotifier
+import io.knapweedferry.entry.pipeline.CandidateList
+import io.knapweedferry.entry.pipeline.ChatClassifier
+import io.knapweedferry.entry.pipeline.DecodeStage
+import io.knapweedferry.entry.pipeline.IdempotencyKeyRule
+import io.knapweedferry.entry.pipeline.InFlightLimit
+import io.knapweedferry.entry.pipeline.InvokeStage
+import io.knapweedferry.entry.pipeline.ModelPipeline
+import io.knapweedferry.entry.pipeline.PlaceStage
+import io.knapweedferry.entry.pipeline.PrefillStage
+import io.knapweedferry.entry.pipeline.RetryRule
+import io.knapweedferry.entry.pipeline.ServiceClassifier
+import io.knapweedferry.entry.pipeline.ServicePipeline
+import io.knapweedferry.entry.pipeline.SettleStage
+import io.knapweedferry.policy.placement.PlacementPolicy
+import io.knapweedferry.policy.placement.RandomPlacement
+import io.knapweedferry.policy.placement.ScoredPlacement
+import io.knapweedferry.session.SessionClient
+import io.knapweedferry.telemetry.RouterMetrics
+import kotlinx.coroutines.CoroutineScope
+import java.time.InstantSource
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/** Wires the request path of an entry from its outside connections. */
+internal class EntryParts(
+    private val settings: EntrySettings,
+    private val scope: CoroutineScope,
+    private val sessions: SessionClient,
+    private val follower: ConfigFollower,
+    private val fleet: FleetView,
+    private val claims: ClaimService,
+    private val observers: RequestObservers,
+    private val metrics: RouterMetrics,
+    private val operator: RouteGroup,
+) {
+    private val timeSource = TimeSource.Monotonic
+    private val clock = InstantSource.system()
+    private val loads = LoadBoard(timeSource)
+    private val authenticator = Authenticator()
+    private val retries = RetryRule(settings.retry.maxAttempts, retryAllowance(), Random.Default)
+    private val candidates = CandidateList(placementPolicy(), loads, settings.process.availabilityZone)
+    val limit = InFlightLimit(settings.http.maxInFlight)
+
+    fun server(): EntryServer =
+        EntryServer(
+            settings = settings.http,
+            chat = ChatRoute(follower, authenticator, ChatClassifier(timeSource), limit, modelPipeline(), observers, clock),
+            services = serviceRoute(),
+            models = ModelsRoute(follower, authenticator),
+            operator = operator,
+            isReady = { follower.current() != null && !limit.isClosed },
+            scrape = metrics::scrape,
+        )
+
+    private fun serviceRoute() =
+        ServiceRoute(
+            follower,
+            authenticator,
+            ServiceClassifier(timeSource, IdempotencyKeyRule(clock)),
+            limit,
+            servicePipeline(),
+            observers,
+        )
+
+    private fun modelPipeline() =
+        ModelPipeline(
+            place = PlaceStage(fleet, loads, candidates, sessions),
+            prefill = PrefillStage(fleet, loads, candidates, sessions),
+            decode = DecodeStage(loads, sessions),
+            retries = retries,
+            cancels = CancelNotifier(scope, sessions),
+            keepAliveMs = KEEP_ALIVE_MS,
+        )
+
+    private fun servicePipeline() =
+        ServicePipeline(
+            fleet = fleet,
+            candidates = candidates,
+            incarnations = IncarnationCache(sessions),
+            claims = claims,
+            invoke = InvokeStage(loads, sessions),
+            settle = SettleStage(sessions, claims),
+            retries = retries,
+        )
+
+    private fun placementPolicy(): PlacementPolicy =
+        when (settings.placement.policy) {
+            PlacementPolicyName.SCORED -> ScoredPlacement(Random.Default)
+            PlacementPolicyName.RANDOM -> RandomPlacement(Random.Default)
+        }
+
+    private fun retryAllowance() = RetryShare(settings.retry.budgetPercent)
+
+    private companion object {
+        const val KEEP_ALIVE_MS = 1_000L
+    }
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
@@ -6,7 +6,7 @@
 import io.knapweedferry.entry.http.ChatRoute
 import io.knapweedferry.entry.http.ModelsRoute
 import io.knapweedferry.entry.http.ServiceRoute
-import io.knapweedferry.entry.operator.OperatorRoutes
+import io.knapweedferry.entry.http.RouteGroup
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 
@@ -16,7 +16,7 @@
     private val chat: ChatRoute,
     private val services: ServiceRoute,
     private val models: ModelsRoute,
-    private val operator: OperatorRoutes,
+    private val operator: RouteGroup,
     private val isReady: () -> Boolean,
     private val scrape: () -> String,
 ) {
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
@@ -0,0 +1,144 @@
+package io.knapweedferry.entry.claim
+
+import com.fasterxml.uuid.Generators
+import io.knapweedferry.api.ClaimId
+import io.knapweedferry.api.ClaimRef
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.StreamName
+import io.knapweedferry.api.UnknownReason
+import io.knapweedferry.config.settings.ClaimsSettings
+import io.knapweedferry.platform.log.AppendLog
+import io.knapweedferry.policy.claim.ClaimAnswer
+import io.knapweedferry.policy.claim.ClaimKey
+import io.knapweedferry.policy.claim.ClaimPartitions
+import io.knapweedferry.policy.claim.ClaimRecord
+import io.knapweedferry.policy.claim.ClaimStanding
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Claims keys through the order of the log: the first claim of a key that is not void wins, and a claimer dispatches only
+ * after it has read the stream up to its own claim.
+ */
+internal class LogClaimService(
+    settings: ClaimsSettings,
+    private val log: AppendLog,
+    private val process: ProcessId,
+    private val scope: CoroutineScope,
+) : ClaimService {
+    private val partitioning = ClaimPartitions(settings.partitions)
+    private val partitions = List(settings.partitions) { ClaimPartition(StreamName("claims-$it"), log) }
+    private val appenders = partitions.map { BatchAppender(it.stream, log, settings.batchMs) }
+    private val newIds = Generators.timeBasedEpochGenerator()
+
+    fun start() {
+        partitions.forEach { scope.launch { it.run() } }
+        appenders.forEach { scope.launch { it.run() } }
+    }
+
+    override suspend fun claim(request: ClaimRequest): ClaimDecision {
+        val key = ClaimKey.parse(request.key).fold({ return ClaimDecision.NotClaimed(it) }, { it })
+        val number = partitioning.of(key)
+        return withTimeoutOrNull(request.timeoutMs.milliseconds) { claimIn(number, key, request) }
+            ?: notClaimed(RefusalReason.LOG_UNAVAILABLE, "the log did not settle the claim in time")
+    }
+
+    private suspend fun claimIn(
+        number: Int,
+        key: ClaimKey,
+        request: ClaimRequest,
+    ): ClaimDecision {
+        val partition = partitions[number]
+        partition.awaitCaughtUp()
+        when (val known = partition.answer(key)) {
+            is ClaimAnswer.Claimed -> return heldBy(known, partition)
+            ClaimAnswer.NotCovered -> return expired()
+            ClaimAnswer.Unclaimed -> Unit
+        }
+        val id = ClaimId(newIds.generate().toString())
+        val record = ClaimRecord.Claim(id, key.key, request.endpoint, request.incarnation, request.attempt, request.requestId)
+        val error = appenders[number].append(ClaimPartition.encode(record)).leftOrNull()
+        if (error != null && ClaimPartition.hadNoEffect(error)) return notClaimed(RefusalReason.LOG_UNAVAILABLE, error.message)
+        // Also after a lost response: if the append took effect, the claim shows up in the stream.
+        return decide(partition, key, record)
+    }
+
+    private suspend fun decide(
+        partition: ClaimPartition,
+        key: ClaimKey,
+        record: ClaimRecord.Claim,
+    ): ClaimDecision =
+        when (partition.awaitStanding(key, record.claimId)) {
+            ClaimStanding.WON -> won(partition, key, record)
+            ClaimStanding.LOST -> lost(partition, key)
+            ClaimStanding.KEY_FROM_FUTURE -> notClaimed(RefusalReason.KEY_INVALID, "the key was made in the future")
+            ClaimStanding.NOT_COVERED -> expired()
+            ClaimStanding.VOIDED, ClaimStanding.NOT_SEEN ->
+                notClaimed(RefusalReason.STALE_INCARNATION, "the claim was voided before it was used")
+        }
+
+    private fun won(
+        partition: ClaimPartition,
+        key: ClaimKey,
+        record: ClaimRecord.Claim,
+    ): ClaimDecision {
+        val standing = partition.answer(key) as? ClaimAnswer.Claimed
+        if (standing?.claim?.claimId != record.claimId) return lost(partition, key)
+        return ClaimDecision.Won(ClaimRef(record.claimId, key.key, standing.offset, record.incarnation, partition.stream))
+    }
+
+    private fun lost(
+        partition: ClaimPartition,
+        key: ClaimKey,
+    ): ClaimDecision {
+        val winner = partition.answer(key) as? ClaimAnswer.Claimed
+        return winner?.let { heldBy(it, partition) } ?: notClaimed(RefusalReason.STALE_INCARNATION, "the winning claim was voided")
+    }
+
+    override suspend fun abandon(claim: ClaimRef): Boolean {
+        val key = ClaimKey.parse(claim.key).getOrNull() ?: return false
+        val number = partitioning.of(key)
+        val void = ClaimRecord.Void(claim.claimId, claim.key, process)
+        val error = appenders[number].append(ClaimPartition.encode(void)).leftOrNull()
+        if (error != null && ClaimPartition.hadNoEffect(error)) return false
+        return awaitVoid(claim, VOID_TIMEOUT_MS)
+    }
+
+    override suspend fun awaitVoid(
+        claim: ClaimRef,
+        timeoutMs: Long,
+    ): Boolean {
+        val key = ClaimKey.parse(claim.key).getOrNull() ?: return false
+        val partition = partitions[partitioning.of(key)]
+        val standing =
+            withTimeoutOrNull(timeoutMs.milliseconds) {
+                partition.awaitStanding(key, claim.claimId) { it == ClaimStanding.VOIDED || it == ClaimStanding.NOT_COVERED }
+            }
+        return standing == ClaimStanding.VOIDED
+    }
+
+    private fun heldBy(
+        standing: ClaimAnswer.Claimed,
+        partition: ClaimPartition,
+    ): ClaimDecision {
+        val claim = standing.claim
+        val ref = ClaimRef(claim.claimId, claim.key, standing.offset, claim.incarnation, partition.stream)
+        return ClaimDecision.HeldBy(ref, claim.endpoint)
+    }
+
+    private fun expired() = ClaimDecision.Undecidable(UnknownReason.KEY_EXPIRED, "records since the key was made may be gone")
+
+    private fun notClaimed(
+        reason: RefusalReason,
+        detail: String,
+    ) = ClaimDecision.NotClaimed(Refusal(reason, detail, retryAfterMs = RETRY_AFTER_MS))
+
+    private companion object {
+        const val VOID_TIMEOUT_MS = 3_000L
+        const val RETRY_AFTER_MS = 2_000L
+    }
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
@@ -6,6 +6,7 @@
 import io.knapweedferry.platform.instance.InstanceState
 import io.knapweedferry.platform.instance.ListedInstance
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -34,6 +35,14 @@
         return FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, assignment)
     }
 
+    /** Session addresses of all listed instances. */
+    fun addresses(): List<String> = listed.get().map { it.sessionAddress }
+
+    /** Joins again at once when the configuration changes, without asking the platform. */
+    suspend fun refreshOn(changes: Flow<*>) {
+        changes.collect { fleet.set(join(listed.get())) }
+    }
+
     suspend fun poll() {
         while (true) {
             refresh()
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/AuditExplainer.kt
@@ -0,0 +1,58 @@
+package io.knapweedferry.entry.observe
+
+import arrow.core.Either
+import io.knapweedferry.api.RequestId
+import io.knapweedferry.entry.operator.RequestExplainer
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.telemetry.AuditFindings
+import io.knapweedferry.telemetry.AuditReader
+import io.knapweedferry.telemetry.AuditRecord
+import io.knapweedferry.telemetry.FoundRecord
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+
+/** Explains a request from the audit stream, and says where the records may be incomplete. */
+internal class AuditExplainer(
+    private val reader: AuditReader,
+) : RequestExplainer {
+    override suspend fun explain(request: RequestId): Either<PlatformError, JsonElement?> =
+        reader.find(request).map { findings -> findings.takeIf { it.records.isNotEmpty() }?.let { report(request, it) } }
+
+    private fun report(
+        request: RequestId,
+        findings: AuditFindings,
+    ): JsonObject =
+        buildJsonObject {
+            put("request_id", request.value)
+            put("may_be_incomplete", findings.mayBeIncomplete)
+            put("dropped_records", findings.droppedRecords)
+            putJsonArray("records") { findings.records.forEach { add(record(it)) } }
+        }
+
+    private fun record(found: FoundRecord): JsonObject {
+        val record: AuditRecord = found.record
+        return buildJsonObject {
+            put("process", found.process.value)
+            put("organisation", record.organisation?.value)
+            put("started_at_ms", record.startedAtMs)
+            put("elapsed_ms", record.elapsedMs)
+            put("outcome", record.outcome)
+            putJsonArray("steps") {
+                record.steps.forEach { step ->
+                    addJsonObject {
+                        put("at_ms", step.elapsedMs)
+                        put("stage", step.stage)
+                        put("decision", step.decision)
+                        put("reason", step.reason)
+                        putJsonObject("inputs") { step.inputs.forEach { (key, value) -> put(key, value) } }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/FollowerEvents.kt
@@ -0,0 +1,25 @@
+package io.knapweedferry.entry.observe
+
+import io.knapweedferry.config.stream.FollowerEvent
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+
+/** Writes what happens to the configuration follower into the event log. */
+public class FollowerEvents(
+    private val events: EventLog,
+) : (FollowerEvent) -> Unit {
+    override fun invoke(event: FollowerEvent) {
+        when (event) {
+            is FollowerEvent.Adopted -> events.write(LogEvent.CONFIG_APPLIED, "revision" to event.revision.value)
+            is FollowerEvent.RecordSkipped ->
+                events.write(LogEvent.CONFIG_RECORD_UNREADABLE, "offset" to event.offset, "reason" to event.reason)
+            is FollowerEvent.ReadFailed -> events.write(LogEvent.LOG_DOWN, "detail" to event.error.message)
+            is FollowerEvent.PulledFromPeer -> events.write(LogEvent.CONFIG_FROM_PEER, "revision" to event.revision.value)
+            is FollowerEvent.Frozen -> events.write(LogEvent.PROCESS_WAS_FROZEN, "gap_ms" to event.gapMs)
+            is FollowerEvent.SnapshotAppended -> events.write(LogEvent.SNAPSHOT_APPENDED, "offset" to event.offset)
+            is FollowerEvent.CannotJoin -> events.write(LogEvent.CONFIG_NO_SNAPSHOT)
+            is FollowerEvent.LogWentBack ->
+                events.write(LogEvent.CONFIG_OLDER_IGNORED, "next_offset" to event.nextOffset, "folded_offset" to event.foldedOffset)
+        }
+    }
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InFlightLimit.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InFlightLimit.kt
@@ -16,6 +16,8 @@
     @Volatile
     private var closed = false
 
+    val isClosed: Boolean get() = closed
+
     val count: Int get() = inFlight.get()
 
     fun enter(): Either<Refusal, Unit> {
--- a/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/ClaimTableSpec.kt
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/ClaimTableSpec.kt
@@ -4,6 +4,7 @@
 import io.knapweedferry.api.ClaimRef
 import io.knapweedferry.api.IdempotencyKey
 import io.knapweedferry.api.Incarnation
+import io.knapweedferry.api.StreamName
 import org.jetbrains.lincheck.datastructures.IntGen
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions
 import org.jetbrains.lincheck.datastructures.Operation
@@ -56,5 +57,5 @@
     private fun ref(
         claim: Int,
         key: String = "k",
-    ) = ClaimRef(ClaimId("c$claim"), IdempotencyKey(key), 0, Incarnation("i"))
+    ) = ClaimRef(ClaimId("c$claim"), IdempotencyKey(key), 0, Incarnation("i"), StreamName("claims-0"))
 }
