--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/PauseDetector.kt
@@ -0,0 +1,42 @@
+package io.knapweedferry.sidecar.orders
+
+import io.knapweedferry.sidecar.server.MonotonicClock
+import kotlinx.coroutines.delay
+
+/**
+ * Counts pauses of the process. Compares both clocks, because the monotonic one stands still while a machine is suspended
+ * and the wall clock may be set back.
+ */
+internal class PauseDetector(
+    private val clock: MonotonicClock,
+    private val wallClockMs: () -> Long,
+    private val pauseMs: Long,
+) {
+    private val lock = Any()
+    private var lastMs = clock.nowMs()
+    private var lastWallMs = wallClockMs()
+    private var pauses = 0
+
+    /** Looks at the clocks regularly, so that ordinary waiting is not taken for a pause. */
+    suspend fun run() {
+        while (true) {
+            delay(BEAT_MS)
+            count()
+        }
+    }
+
+    /** Number of pauses so far, including one that has only just ended. */
+    fun count(): Int =
+        synchronized(lock) {
+            val now = clock.nowMs()
+            val wallNow = wallClockMs()
+            if (maxOf(now - lastMs, wallNow - lastWallMs) > BEAT_MS + pauseMs) pauses++
+            lastMs = now
+            lastWallMs = wallNow
+            pauses
+        }
+
+    companion object {
+        private const val BEAT_MS = 500L
+    }
+}
--- /dev/null
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/PreemptionSpec.kt
@@ -0,0 +1,69 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.FailureReason
+import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.message.AttemptFailed
+import io.knapweedferry.api.message.Reserved
+import io.knapweedferry.policy.admission.AdmissionGate
+import io.knapweedferry.policy.admission.FifoGate
+import io.knapweedferry.policy.admission.GateChanges
+import io.knapweedferry.policy.admission.GateLimits
+import io.knapweedferry.policy.admission.Ticket
+import io.knapweedferry.policy.admission.TicketId
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.decode
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.reserve
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertInstanceOf
+import org.junit.jupiter.api.Test
+
+/** Guards against preempted work that keeps its memory, loses tokens or is not told. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class PreemptionSpec {
+    @Test
+    fun `a preempted stream frees its place, and its caller can resume from what was delivered`() =
+        runTest {
+            val fixture = SidecarFixture(this, ::PreemptingGate)
+            val running = fixture.stream("low")
+            fixture.lease("b")
+            advanceTimeBy(100)
+            val urgent = fixture.start(reserve("urgent"))
+            runCurrent()
+            assertInstanceOf(Reserved::class.java, urgent.received.single())
+            assertEquals(FailureReason.PREEMPTED, (running.received.last() as AttemptFailed).reason)
+            assertEquals(listOf("t0", "t1", "t2"), running.texts)
+            assertEquals(emptySet<Any>(), fixture.engine.holding)
+        }
+
+    @Test
+    fun `a preempted lease is not usable any more and the reason is told`() =
+        runTest {
+            val fixture = SidecarFixture(this, ::PreemptingGate)
+            val lease = fixture.lease("low")
+            fixture.lease("b")
+            val urgent = fixture.start(reserve("urgent"))
+            runCurrent()
+            assertInstanceOf(Reserved::class.java, urgent.received.single())
+            assertEquals(RefusalReason.PREEMPTED, fixture.start(decode(lease, "low")).refusal)
+        }
+
+    /** Names the oldest holder whenever a ticket has to wait. */
+    private class PreemptingGate(
+        limits: GateLimits,
+        private val gate: FifoGate = FifoGate(limits),
+    ) : AdmissionGate by gate {
+        private val holders = ArrayDeque<TicketId>()
+
+        override fun offer(
+            ticket: Ticket,
+            nowMs: Long,
+        ): GateChanges {
+            val changes = gate.offer(ticket, nowMs)
+            holders += changes.granted
+            return if (changes.granted.isEmpty()) changes.copy(preempted = listOf(holders.first())) else changes
+        }
+    }
+}
