--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/EntryCommand.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/EntryCommand.kt
@@ -27,7 +27,7 @@
                 .map { Loaded(settings, SessionKey(it)) }
         }
 
-    override fun print(settings: Loaded): String = SettingsPrinter.print(EntrySettings.serializer(), settings.settings)
+    override fun print(settings: Loaded): String = SettingsPrinter.print(settings.settings, EntrySettings.serializer())
 
     override fun create(
         settings: Loaded,
--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/SidecarCommand.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/SidecarCommand.kt
@@ -27,7 +27,7 @@
                 .map { Loaded(settings, SessionKey(it)) }
         }
 
-    override fun print(settings: Loaded): String = SettingsPrinter.print(SidecarSettings.serializer(), settings.settings)
+    override fun print(settings: Loaded): String = SettingsPrinter.print(settings.settings, SidecarSettings.serializer())
 
     override fun create(
         settings: Loaded,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
@@ -82,7 +82,7 @@
             log,
             settings.process.id,
             incarnation,
-            AuditSettings(bytesPerSecond = settings.audit.bytesPerSecond),
+            AuditSettings(bytesPerSecond = settings.audit.bytesPerSecond.toInt()),
             metrics,
             events,
         )
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -24,6 +24,7 @@
 import io.knapweedferry.entry.pipeline.PlaceStage
 import io.knapweedferry.entry.pipeline.PrefillStage
 import io.knapweedferry.entry.pipeline.RetryRule
+import io.knapweedferry.entry.pipeline.RetryShare
 import io.knapweedferry.entry.pipeline.ServiceClassifier
 import io.knapweedferry.entry.pipeline.ServicePipeline
 import io.knapweedferry.entry.pipeline.SettleStage
