--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
@@ -75,7 +75,6 @@
         when (partition.awaitStanding(key, record.claimId)) {
             ClaimStanding.WON -> won(partition, key, record)
             ClaimStanding.LOST -> lost(partition, key)
-            ClaimStanding.KEY_FROM_FUTURE -> notClaimed(RefusalReason.KEY_INVALID, "the key was made in the future")
             ClaimStanding.NOT_COVERED -> expired()
             ClaimStanding.VOIDED, ClaimStanding.NOT_SEEN ->
                 notClaimed(RefusalReason.STALE_INCARNATION, "the claim was voided before it was used")
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/IdempotencyKeyRule.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/IdempotencyKeyRule.kt
@@ -34,6 +34,6 @@
     private companion object {
         const val TIME_ORDERED_VERSION = 7
         const val TIMESTAMP_SHIFT_BITS = 16
-        const val MAX_SKEW_MS = 60_000L
+        const val MAX_SKEW_MS = 5_000L
     }
 }
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EndpointState.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EndpointState.kt
@@ -10,6 +10,9 @@
 ) {
     private val inProgress = MutableStateFlow(0)
 
+    /** Work in progress now. */
+    val count: Int get() = inProgress.value
+
     /** True while an order changes what the endpoint serves. */
     @Volatile
     var closed: Boolean = false
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Sidecar.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Sidecar.kt
@@ -49,6 +49,9 @@
     private val claimQuery = ClaimQueryHandler(context, claims, voider)
     private val configPull = ConfigPullHandler(context)
 
+    /** Work in progress at all endpoints. */
+    public val inProgress: Int get() = endpoints.all.sumOf { it.state.count }
+
     /** Starts to cancel what the engines hold for former incarnations. */
     public fun start() {
         endpoints.engines.forEach { engine -> context.scope.launch { engine.cancelLeftovers() } }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -42,6 +42,7 @@
         "look for memory pressure or a suspended instance",
     ),
     UNCAUGHT_ERROR(111, EventLevel.ERROR, "unexpected error in a background task", "report the error with its detail"),
+    SHUTDOWN_FORCED(112, EventLevel.WARN, "second signal received, stopping at once", "nothing; work in progress was cut off"),
     HTTP_LISTENING(113, EventLevel.INFO, "HTTP server is listening", NO_ACTION),
     SETTINGS_LOADED(114, EventLevel.INFO, "settings loaded", NO_ACTION),
 
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
@@ -0,0 +1,128 @@
+package io.knapweedferry.testing.deploy
+
+import io.knapweedferry.config.intent.Intent
+import io.knapweedferry.config.report.PlanReport
+import io.knapweedferry.testing.standin.StandIns
+import kotlinx.serialization.json.Json
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/**
+ * Stand-ins in this process and real daemons as child processes, on loopback ports. Used by the demo, the integration
+ * tests and the measurements.
+ */
+public class LocalDeployment(
+    public val plan: DeploymentPlan,
+    private val folder: Path,
+    classPath: String = System.getProperty("java.class.path"),
+    /** Address that the instance list shows for a sidecar, for example that of a fault proxy before it. */
+    listedAddress: (name: String, address: String) -> String = { _, address -> address },
+) : AutoCloseable {
+    private val layout = DeploymentLayout(plan, listedAddress)
+    private val files = DeploymentFiles(plan, layout, folder)
+    private val http = OkHttpClient.Builder().readTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS).build()
+    private val daemon = DaemonCommandLine(classPath)
+
+    /** The platform. */
+    public val standIns: StandIns = StandIns(layout.standInSettings())
+
+    /** Entries by index. */
+    public val entries: List<ManagedProcess> =
+        List(plan.entries) { ManagedProcess("entry-$it", daemon.entry(files.entry(it)), folder.resolve("entry-$it.log")) }
+
+    /** Sidecars by the name of their endpoint. */
+    public val sidecars: Map<String, ManagedProcess> =
+        layout.endpointNames.associateWith {
+            ManagedProcess("sidecar-$it", daemon.sidecar(files.sidecar(it)), folder.resolve("sidecar-$it.log"))
+        }
+
+    /** Base URL of an entry. */
+    public fun entryUrl(index: Int): String = "http://${layout.entryAddress(index)}"
+
+    /** Starts everything, applies the fleet through an operator's plan, and returns when all entries are ready. */
+    public fun start() {
+        Files.createDirectories(folder)
+        standIns.start()
+        files.write(standIns::url)
+        (sidecars.values + entries).forEach { it.start() }
+        entries.indices.forEach { awaitLive(it) }
+        applyFleet()
+        entries.indices.forEach { awaitReady(it) }
+    }
+
+    /** Proposes and confirms the whole fleet of the plan. */
+    public fun applyFleet() {
+        val intent = Json.encodeToString(Intent.serializer(), Intent.ApplyFleet(layout.fleet(), force = true))
+        val report = Json { ignoreUnknownKeys = true }.decodeFromString(PlanReport.serializer(), operate("/intents", intent))
+        operate("/plans/${report.id.value}/confirm", "")
+    }
+
+    /** File with the token of the operator `alice`, for the command-line client. */
+    public val operatorTokenFile: Path get() = files.operatorToken
+
+    /** Waits until an entry reports that it is ready. */
+    public fun awaitReady(index: Int): Unit = awaitStatus(index, "/health/ready")
+
+    private fun awaitLive(index: Int) = awaitStatus(index, "/health/live")
+
+    private fun awaitStatus(
+        index: Int,
+        path: String,
+    ) {
+        val deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS)
+        while (System.nanoTime() < deadline) {
+            if (statusOf(entryUrl(index) + path) == STATUS_OK) return
+            check(entries[index].isAlive) { "entry-$index ended: ${entries[index].logText().takeLast(LOG_TAIL_CHARS)}" }
+            Thread.sleep(POLL_MS)
+        }
+        error("entry-$index did not answer $path in time: ${entries[index].logText().takeLast(LOG_TAIL_CHARS)}")
+    }
+
+    private fun statusOf(url: String): Int? =
+        try {
+            http.newCall(Request.Builder().url(url).build()).execute().use { it.code }
+        } catch (_: IOException) {
+            null
+        }
+
+    private fun operate(
+        path: String,
+        body: String,
+    ): String {
+        val request =
+            Request
+                .Builder()
+                .url("${entryUrl(0)}/v1/operator$path")
+                .header("Authorization", "Bearer ${Deployments.OPERATOR_TOKEN}")
+                .post(body.toRequestBody("application/json".toMediaType()))
+                .build()
+        return http.newCall(request).execute().use { response ->
+            val text = response.body.string()
+            check(response.isSuccessful) { "operator call $path gave ${response.code}: $text" }
+            text
+        }
+    }
+
+    override fun close() {
+        val all = entries + sidecars.values
+        all.filter { it.isAlive }.forEach { it.thaw() }
+        all.forEach { it.kill() }
+        standIns.close()
+        http.dispatcher.executorService.shutdown()
+        http.connectionPool.evictAll()
+    }
+
+    private companion object {
+        const val CALL_TIMEOUT_MS = 10_000L
+        const val START_TIMEOUT_MS = 30_000L
+        const val POLL_MS = 50L
+        const val STATUS_OK = 200
+        const val LOG_TAIL_CHARS = 2_000
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/PlannedEngine.kt
@@ -0,0 +1,14 @@
+package io.knapweedferry.testing.deploy
+
+import io.knapweedferry.config.state.EndpointRole
+
+/** One engine with its sidecar. */
+public data class PlannedEngine(
+    val name: String,
+    val availabilityZone: String,
+    val role: EndpointRole,
+    val model: String,
+    val slots: Int = 20,
+    val pieces: Int = 60,
+    val checksFencing: Boolean = true,
+)
