Serve engine streams by a servlet and spec the stand-ins under virtual time

Javalin answers a call once more when its future ends. After a shutdown with open calls that looped on recycled responses: 513,477 warnings in one run of the specs. Calls that are open at the shutdown now never complete their future, and streams run in a plain asynchronous servlet that completes exactly once.

--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandIns.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/StandIns.kt
@@ -12,6 +12,7 @@
 import io.knapweedferry.testing.standin.engine.EngineRoutes
 import io.knapweedferry.testing.standin.engine.EngineStandIn
 import io.knapweedferry.testing.standin.engine.EngineSurroundings
+import io.knapweedferry.testing.standin.engine.GenerateServlet
 import io.knapweedferry.testing.standin.http.Admin
 import io.knapweedferry.testing.standin.http.AdminRoutes
 import io.knapweedferry.testing.standin.http.Calls
@@ -51,7 +52,7 @@
         )
     private val engines = settings.engines.associate { it.name to EngineStandIn(it, surroundings) }
     private val services = settings.services.associate { it.name to ServiceStandIn(it) }
-    private val server = StandInServer(settings.host, ports(), ::register)
+    private val server = StandInServer(settings.host, ports(), mapOf("/generate" to GenerateServlet(scope, engines)), ::register)
 
     /** Returns when all ports listen. */
     public fun start() {
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineRoutes.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineRoutes.kt
@@ -6,7 +6,6 @@
 import io.knapweedferry.platform.engine.CancelRequest
 import io.knapweedferry.platform.engine.EngineLoad
 import io.knapweedferry.platform.engine.EngineOrder
-import io.knapweedferry.platform.engine.GenerateOrder
 import io.knapweedferry.platform.engine.ImportRequest
 import io.knapweedferry.platform.engine.PrefillOrder
 import io.knapweedferry.platform.engine.PrefillResult
@@ -17,7 +16,7 @@
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.builtins.serializer
 
-/** HTTP side of all [EngineStandIn]s, chosen by the port of the request. */
+/** HTTP side of all [EngineStandIn]s, chosen by the port of the request; [GenerateServlet] serves the streams. */
 internal class EngineRoutes(
     private val calls: Calls,
     private val engines: Map<String, EngineStandIn>,
@@ -31,7 +30,6 @@
         get(routes, "/held", ListSerializer(String.serializer())) { held() }
         get(routes, "/load", EngineLoad.serializer()) { load() }
         get(routes, "/cache-events", ListSerializer(CacheEvent.serializer())) { cacheEvents(it.queryParam("after")?.toLongOrNull() ?: 0) }
-        routes.post("/generate", ::generate)
         routes.post("/admin/crash") { context ->
             calls.answer(context) {
                 engine(context).crash()
@@ -40,16 +38,6 @@
         }
     }
 
-    private fun generate(context: Context) =
-        calls.stream(context) {
-            val order = Calls.decode(context, GenerateOrder.serializer())
-            val engine = engine(context)
-            val sink = NdjsonSink(context, engine::disconnected)
-            engine.generate(order, sink)
-            sink.open()
-            sink.done
-        }
-
     private fun <I, O> post(
         routes: RoutesConfig,
         path: String,
@@ -85,5 +73,5 @@
     }
 
     private fun engine(context: Context): EngineStandIn =
-        engines[Calls.standIn(context)] ?: throw StandInFailure.notFound("no engine on this port")
+        engines[Calls.standIn(context.req())] ?: throw StandInFailure.notFound("no engine on this port")
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/NdjsonSink.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/NdjsonSink.kt
@@ -1,33 +1,31 @@
 package io.knapweedferry.testing.standin.engine
 
-import io.javalin.http.Context
 import io.knapweedferry.platform.engine.GenerateLine
 import io.knapweedferry.testing.standin.http.Calls
+import jakarta.servlet.AsyncContext
 import jakarta.servlet.ServletOutputStream
 import jakarta.servlet.WriteListener
+import jakarta.servlet.http.HttpServletRequest
 import java.io.ByteArrayOutputStream
 import java.io.IOException
-import java.util.concurrent.CompletableFuture
 
 /** Writes lines to an HTTP response without blocking a thread; a slow reader only fills a buffer as long as the answer. */
 internal class NdjsonSink(
-    private val context: Context,
+    private val async: AsyncContext,
     private val onBroken: (TokenSink) -> Unit,
 ) : TokenSink,
     WriteListener {
-    /** Completes when the response is written or the connection is broken. */
-    val done = CompletableFuture<Unit>()
-
     private val lock = Any()
     private val pending = ByteArrayOutputStream()
     private var output: ServletOutputStream? = null
     private var unflushed = false
     private var ended = false
+    private var completed = false
 
-    /** Starts the response; only allowed once the request is asynchronous. */
+    /** Starts the response. */
     fun open() {
-        context.res().contentType = "application/x-ndjson"
-        context.res().outputStream.setWriteListener(this)
+        async.response.contentType = "application/x-ndjson"
+        async.response.outputStream.setWriteListener(this)
     }
 
     override fun write(line: GenerateLine) =
@@ -43,15 +41,16 @@
             drain()
         }
 
-    override fun cut() {
-        Calls.cut(context)
-        done.complete(Unit)
-    }
+    override fun cut() =
+        synchronized(lock) {
+            if (!completed) Calls.cut(async.request as HttpServletRequest)
+            complete()
+        }
 
     override fun onWritePossible() =
         synchronized(lock) {
-            if (output == null) {
-                output = context.res().outputStream
+            if (output == null && !completed) {
+                output = async.response.outputStream
                 // Sends the status before the first token.
                 unflushed = true
             }
@@ -62,11 +61,11 @@
 
     private fun drain() {
         val out = output ?: return
-        if (done.isDone) return
+        if (completed) return
         try {
             while (out.isReady && (pending.size() > 0 || unflushed)) writeOrFlush(out)
             val written = pending.size() == 0 && !unflushed
-            if (ended && written && out.isReady) done.complete(Unit)
+            if (ended && written && out.isReady) complete()
         } catch (_: IOException) {
             broken()
         }
@@ -84,8 +83,15 @@
         out.write(bytes)
     }
 
-    private fun broken() {
-        if (!done.complete(Unit)) return
-        onBroken(this)
+    private fun broken() =
+        synchronized(lock) {
+            if (!completed) onBroken(this)
+            complete()
+        }
+
+    private fun complete() {
+        if (completed) return
+        completed = true
+        async.complete()
     }
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/AdminRoutes.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/AdminRoutes.kt
@@ -18,7 +18,7 @@
     }
 
     private fun admin(context: Context): Admin<*, *> =
-        admins[Calls.standIn(context)] ?: throw StandInFailure.notFound("no stand-in on this port")
+        admins[Calls.standIn(context.req())] ?: throw StandInFailure.notFound("no stand-in on this port")
 
     private fun <F : Any> faults(admin: Admin<F, *>): String = Calls.json.encodeToString(admin.faultsSerializer, admin.faults)
 
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/Calls.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/Calls.kt
@@ -1,10 +1,10 @@
 package io.knapweedferry.testing.standin.http
 
 import io.javalin.http.Context
-import io.knapweedferry.platform.http.ErrorBody
+import jakarta.servlet.http.HttpServletRequest
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.future.await
-import kotlinx.coroutines.future.future
+import kotlinx.coroutines.launch
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -19,44 +19,49 @@
     fun answer(
         context: Context,
         block: suspend () -> String,
-    ) = run(context) { context.contentType("application/json").result(block()) }
+    ) = context.future {
+        val done = CompletableFuture<Unit>()
+        scope
+            .launch { respond(context, block) }
+            .invokeOnCompletion { cause -> settle(done, cause) }
+        done
+    }
 
-    /** Lets [block] write the response itself; the response ends when the returned future completes. */
-    fun stream(
+    private suspend fun respond(
         context: Context,
-        block: suspend () -> CompletableFuture<Unit>,
-    ) = run(context) { block().await() }
+        block: suspend () -> String,
+    ) {
+        try {
+            context.contentType("application/json").result(block())
+        } catch (e: StandInFailure) {
+            fail(context, e)
+        } catch (e: SerializationException) {
+            fail(context, StandInFailure.badRequest(e))
+        } catch (_: LostAnswer) {
+            cut(context.req())
+        }
+    }
 
-    private fun run(
-        context: Context,
-        block: suspend () -> Unit,
-    ) = context.future {
-        scope.future {
-            try {
-                block()
-            } catch (e: StandInFailure) {
-                fail(context, e.status, e.code, e.message)
-            } catch (e: SerializationException) {
-                fail(context, BAD_REQUEST, "bad_request", e.message.orEmpty())
-            } catch (_: LostAnswer) {
-                cut(context)
-            }
+    private fun settle(
+        done: CompletableFuture<Unit>,
+        cause: Throwable?,
+    ) {
+        when (cause) {
+            null -> done.complete(Unit)
+            // Only at shutdown. Javalin would try without end to answer a request that the server has already dropped.
+            is CancellationException -> return
+            else -> done.completeExceptionally(cause)
         }
     }
 
     private fun fail(
         context: Context,
-        status: Int,
-        code: String,
-        message: String,
+        failure: StandInFailure,
     ) {
-        val body = json.encodeToString(ErrorBody.serializer(), ErrorBody(code, message))
-        context.status(status).contentType("application/json").result(body)
+        context.status(failure.status).contentType("application/json").result(failure.body())
     }
 
     companion object {
-        private const val BAD_REQUEST = 400
-
         val json: Json =
             Json {
                 ignoreUnknownKeys = true
@@ -69,21 +74,11 @@
         ): T = json.decodeFromString(serializer, context.body())
 
         /** Name of the stand-in whose port got the call. */
-        fun standIn(context: Context): String =
-            ServletContextRequest
-                .getServletContextRequest(context.req())
-                .connectionMetaData
-                .connector
-                .name
+        fun standIn(request: HttpServletRequest): String = connection(request).connector.name
 
         /** Closes the connection of a call without an answer. */
-        fun cut(context: Context) {
-            ServletContextRequest
-                .getServletContextRequest(context.req())
-                .connectionMetaData
-                .connection
-                .endPoint
-                .close()
-        }
+        fun cut(request: HttpServletRequest) = connection(request).connection.endPoint.close()
+
+        private fun connection(request: HttpServletRequest) = ServletContextRequest.getServletContextRequest(request).connectionMetaData
     }
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/StandInServer.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/http/StandInServer.kt
@@ -3,7 +3,8 @@
 import io.javalin.Javalin
 import io.javalin.compression.CompressionStrategy
 import io.javalin.config.RoutesConfig
-import kotlinx.coroutines.CancellationException
+import jakarta.servlet.http.HttpServlet
+import org.eclipse.jetty.ee10.servlet.ServletHolder
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Server
@@ -14,6 +15,7 @@
 internal class StandInServer(
     private val host: String,
     private val ports: Map<String, Int>,
+    private val servlets: Map<String, HttpServlet>,
     private val register: (RoutesConfig) -> Unit,
 ) : AutoCloseable {
     private val javalin =
@@ -24,8 +26,9 @@
             config.http.compressionStrategy = CompressionStrategy.NONE
             config.jetty.threadPool = QueuedThreadPool(ports.size * THREADS_PER_PORT + HANDLER_THREADS, HANDLER_THREADS)
             ports.forEach { (name, port) -> config.jetty.addConnector { server, http -> connector(server, http, name, port) } }
-            // Calls that are open at the shutdown of the process end without an answer.
-            config.routes.exception(CancellationException::class.java) { _, _ -> }
+            config.jetty.modifyServletContextHandler { handler ->
+                servlets.forEach { (path, servlet) -> handler.addServlet(ServletHolder(servlet).apply { isAsyncSupported = true }, path) }
+            }
             register(config.routes)
         }
 
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceRoutes.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceRoutes.kt
@@ -18,7 +18,7 @@
                     key = context.header("Idempotency-Key"),
                     body = context.body(),
                 )
-            val name = Calls.standIn(context)
+            val name = Calls.standIn(context.req())
             calls.answer(context) {
                 val service = services[name] ?: throw StandInFailure.notFound("no service on this port")
                 Calls.json.encodeToString(ServiceAnswer.serializer(), service.execute(call))
--- /dev/null
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/standin/engine/EngineStandInSpec.kt
@@ -0,0 +1,206 @@
+package io.knapweedferry.testing.standin.engine
+
+import io.knapweedferry.api.KvSource
+import io.knapweedferry.platform.engine.EngineOrder
+import io.knapweedferry.platform.engine.EngineRequestId
+import io.knapweedferry.platform.engine.GenerateOrder
+import io.knapweedferry.platform.engine.ImportRequest
+import io.knapweedferry.platform.engine.PrefillOrder
+import io.knapweedferry.testing.standin.StandInAnswer
+import io.knapweedferry.testing.standin.http.StandInFailure
+import io.knapweedferry.testing.standin.settings.EngineSettings
+import io.knapweedferry.testing.standin.settings.LinkSettings
+import io.knapweedferry.testing.standin.settings.TimeScale
+import io.knapweedferry.testing.standin.settings.WeightSettings
+import io.knapweedferry.testing.standin.weight.WeightStoreStandIn
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Guards against engine stand-ins whose time, memory or eviction is kinder than that of real engines. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class EngineStandInSpec {
+    private val scale =
+        TimeScale(
+            prefillMsPer1000Tokens = 100.0,
+            baseTokenMs = 10.0,
+            tokenMsPerStream = 1.0,
+            kvBytesPerToken = 1_000,
+            exportTtlMs = 800,
+            cacheEventLagMs = 500,
+            cacheEventLoss = 0.0,
+        )
+
+    @Test
+    fun `prefill takes time by tokens that are not cached, and its export is evicted and counted as wasted`() =
+        runTest {
+            val engine = engines().first()
+            assertEquals(0, engine.prefill(prefillOrder("p1")).cachedTokens)
+            // Each chunk is rounded up to a millisecond.
+            assertEquals(1_001, currentTime)
+            assertEquals(9_984, engine.prefill(prefillOrder("p2")).cachedTokens)
+            assertEquals(1_003, currentTime)
+            delay(801)
+            val ledger = engine.ledger()
+            assertEquals(2L to 10_016L, ledger.counters.wastedPrefills to ledger.counters.wastedPrefillTokens)
+            assertEquals(0, ledger.load.usedPieces)
+        }
+
+    @Test
+    fun `imports share the rate of the link and keep the export alive meanwhile`() =
+        runTest {
+            val (from, to) = engines()
+            val sources = listOf("p1", "p2").map { it to from.prefill(prefillOrder(it)).source }
+            val start = currentTime
+            sources.map { (id, source) -> async { to.importKv(importRequest(id, source)) } }.forEach { it.await() }
+            // Two caches of 10 MB over 10 MB a second.
+            assertEquals(2_000.0, (currentTime - start).toDouble(), 10.0)
+            runCurrent()
+            assertEquals(listOf(2L, 0L), from.ledger().counters.let { listOf(it.importedExports, it.wastedPrefills) })
+            assertEquals(6, to.ledger().load.usedPieces)
+        }
+
+    @Test
+    fun `a stalled import times out without memory and can be repeated from the same export`() =
+        runTest {
+            val (from, to) = engines()
+            val source = from.prefill(prefillOrder("p")).source
+            to.faults = EngineFaults(transferStalled = true)
+            assertEquals(503, failure { to.importKv(importRequest("d", source)) }?.status)
+            assertEquals(0, to.ledger().load.usedPieces)
+            to.faults = EngineFaults()
+            to.importKv(importRequest("d", source))
+            assertEquals(1, to.ledger().counters.imports)
+        }
+
+    @Test
+    fun `the time between tokens grows with the batch`() =
+        runTest {
+            val engine = engines().first()
+            val alone = duration { generate(engine, "a", tokens = 50).await() }
+            val together =
+                duration {
+                    List(11) { generate(engine, "b$it", tokens = 50) }.forEach { it.await() }
+                }
+            assertEquals(500.0, alone.toDouble(), 10.0)
+            assertEquals(1_000.0, together.toDouble(), 30.0)
+        }
+
+    @Test
+    fun `a free slot goes to the most urgent stream, and answers do not depend on waiting`() =
+        runTest {
+            val engine = engines(EngineSettings("e", 0, "fleet", slots = 1)).first()
+            val order = mutableListOf<String>()
+            listOf("first" to 1, "late" to 2, "urgent" to 0).forEach { (id, priority) ->
+                launch {
+                    assertEquals(StandInAnswer(PROMPT, 20).texts(), generate(engine, id, 20, priority).await().texts())
+                    order += id
+                }
+                runCurrent()
+            }
+            delay(5_000)
+            assertEquals(listOf("first", "urgent", "late"), order)
+        }
+
+    @Test
+    fun `a stream that finds no memory is preempted and still gives the whole answer`() =
+        runTest {
+            val engine = engines(EngineSettings("e", 0, "fleet", pieces = 3, pieceTokens = 50)).first()
+            val answers = listOf(0, 1).map { generate(engine, "s$it", tokens = 90, priority = it) }.map { it.await() }
+            answers.forEach { assertEquals(StandInAnswer(PROMPT, 90).texts(), it.texts()) }
+            assertTrue(engine.ledger().counters.preemptedStreams > 0)
+            assertEquals(0, engine.ledger().load.usedPieces)
+        }
+
+    @Test
+    fun `orders are fenced only by engines that check, and weights take their time`() =
+        runTest {
+            listOf(true to 409, false to null).forEach { (checks, status) ->
+                val engine = engines(EngineSettings("e$checks", 0, "fleet", checksFencing = checks)).first()
+                engine.order(order("2", fencing = 5))
+                assertEquals(status, failure { engine.order(order("1", fencing = 4)) }?.status)
+            }
+            val engine = engines().first()
+            engine.order(order("2", fencing = 1))
+            runCurrent()
+            assertEquals(503, failure { engine.prefill(prefillOrder("p")) }?.status)
+            // 5 MB at 1 MB a second, then the adapter.
+            delay(5_300)
+            assertEquals("2", engine.ledger().load.version)
+        }
+
+    @Test
+    fun `cache events are late`() =
+        runTest {
+            val engine = engines().first()
+            engine.prefill(prefillOrder("p"))
+            delay(499)
+            assertEquals(0, engine.cacheEvents(0).size)
+            delay(1)
+            assertEquals((1L..39L).toList(), engine.cacheEvents(0).map { it.sequence })
+        }
+
+    private fun TestScope.engines(vararg settings: EngineSettings): List<EngineStandIn> {
+        val directory = EngineDirectory(listOf(LinkSettings("link", 10_000_000)), scale, testTimeSource)
+        val weights = WeightStoreStandIn(1_000_000, listOf("1", "2").map { WeightSettings("fleet", it, 5_000_000) }, testTimeSource)
+        val scope = CoroutineScope(backgroundScope.coroutineContext)
+        val surroundings =
+            EngineSurroundings(scale, directory, weights, 1, scope, testTimeSource) { StandardTestDispatcher(testScheduler) }
+        val chosen =
+            settings.toList().ifEmpty {
+                listOf(
+                    "from",
+                    "to",
+                ).map { EngineSettings(it, 0, "fleet", link = "link", url = "http://$it") }
+            }
+        return chosen.map { EngineStandIn(it, surroundings).also(directory::add) }
+    }
+
+    private fun TestScope.generate(
+        engine: EngineStandIn,
+        id: String,
+        tokens: Int,
+        priority: Int = 0,
+    ) = async {
+        val sink = ListSink()
+        engine.generate(GenerateOrder(EngineRequestId(id), "fleet", PROMPT, tokens, priority, 0), sink)
+        sink.ended.await()
+        sink
+    }
+
+    private suspend fun TestScope.duration(block: suspend () -> Unit): Long {
+        val start = currentTime
+        block()
+        return currentTime - start
+    }
+
+    private suspend fun failure(block: suspend () -> Unit): StandInFailure? = runCatching { block() }.exceptionOrNull() as StandInFailure?
+
+    private fun prefillOrder(id: String) = PrefillOrder(EngineRequestId(id), "fleet", LONG_PROMPT, 0, 5_000)
+
+    private fun importRequest(
+        id: String,
+        source: KvSource,
+    ) = ImportRequest(EngineRequestId(id), source, 3_000)
+
+    private fun order(
+        version: String,
+        fencing: Long,
+    ) = EngineOrder("fleet", version, null, "decode", fencing, "i")
+
+    private companion object {
+        const val PROMPT = "[[answer=90]]"
+        val LONG_PROMPT = "x".repeat(40_000)
+    }
+}
