--- a/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/AnswerEnd.kt
+++ b/knapweedferry-api/src/main/kotlin/io/knapweedferry/api/message/AnswerEnd.kt
@@ -11,8 +11,9 @@
 public data class AnswerEnd(
     val requestId: RequestId,
     val attempt: Int,
+    /** Tokens of the whole answer from position 0. */
     val tokenCount: Int,
-    /** Digest of all token texts from position 0, see AnswerDigest. */
+    /** Digest of the token texts sent in this exchange, from the position that was asked for; see AnswerDigest. */
     val digest: Long,
     val finishReason: String,
     val load: LoadDigest,
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EndpointOrders.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EndpointOrders.kt
@@ -1,5 +1,7 @@
 package io.knapweedferry.sidecar.orders
 
+import io.knapweedferry.sidecar.server.Endpoint
+import io.knapweedferry.sidecar.server.EngineEndpoint
 import io.knapweedferry.sidecar.server.Sidecar
 import kotlinx.coroutines.launch
 
@@ -17,6 +19,9 @@
     /** Starts to follow; each engine takes work once it serves what the configuration assigns to it. */
     public fun start() {
         sidecar.context.scope.launch { pauses.run() }
-        sidecar.endpoints.engines.forEach { engine -> sidecar.context.scope.launch { EngineSwitch(engine, context).run() } }
+        sidecar.endpoints.all.forEach { endpoint -> sidecar.context.scope.launch { switch(endpoint).run() } }
     }
+
+    private fun switch(endpoint: Endpoint): EndpointSwitch =
+        if (endpoint is EngineEndpoint) EngineSwitch(endpoint, context) else EndpointSwitch(endpoint, context)
 }
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EndpointSwitch.kt
@@ -0,0 +1,47 @@
+package io.knapweedferry.sidecar.orders
+
+import io.knapweedferry.config.state.ConfigSnapshot
+import io.knapweedferry.sidecar.server.Endpoint
+import kotlinx.coroutines.delay
+
+/** Follows the configuration for one endpoint to which no orders are given. */
+internal open class EndpointSwitch(
+    private val endpoint: Endpoint,
+    protected val context: OrderContext,
+) {
+    protected val reports = StepReports(endpoint.id, context.reporter)
+
+    suspend fun run() {
+        prepare()
+        while (true) {
+            reports.send()
+            context.sidecar.config
+                .current()
+                ?.let { follow(it, context.reporter.turn(endpoint.id, it.revision)) }
+            delay(context.settings.pollMs)
+        }
+    }
+
+    /** Called once before the configuration is followed. */
+    protected open fun prepare(): Unit = Unit
+
+    /** Brings the endpoint closer to [snapshot]. */
+    protected open suspend fun follow(
+        snapshot: ConfigSnapshot,
+        turn: StepTurn,
+    ): Unit = confirm(snapshot, turn)
+
+    /** Ends a step that needs no order; an endpoint without work to do first finishes what is in progress. */
+    protected suspend fun confirm(
+        snapshot: ConfigSnapshot,
+        turn: StepTurn,
+    ) {
+        val assignment = snapshot.state.endpoints[endpoint.id]
+        if (assignment == null || assignment.draining) {
+            endpoint.refuseWaiting()
+            endpoint.state.awaitIdle()
+        }
+        endpoint.state.closed = false
+        if (turn == StepTurn.DUE) reports.add(snapshot.revision)
+    }
+}
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EngineSwitch.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EngineSwitch.kt
@@ -7,40 +7,33 @@
 import io.knapweedferry.platform.PlatformError
 import io.knapweedferry.platform.engine.EngineOrder
 import io.knapweedferry.sidecar.server.EngineEndpoint
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Brings one engine to what the configuration assigns to it. */
 internal class EngineSwitch(
     private val endpoint: EngineEndpoint,
-    private val context: OrderContext,
-) {
+    context: OrderContext,
+) : EndpointSwitch(endpoint, context) {
     private val config = context.sidecar.config
     private val settings = context.settings
     private val engine = endpoint.definition.engine
     private var served: ServedModel? = null
-    private var unsentReport: StepReport? = null
-    private var reportedAt: Revision? = null
     private var failedAt: Revision? = null
     private var attempts = 0
     private var seenPauses = context.pauses.count()
 
     /** Until the engine told what it serves, the endpoint takes no work. */
-    suspend fun run() {
+    override fun prepare() {
         endpoint.state.closed = true
-        while (true) {
-            step()
-            delay(settings.pollMs)
-        }
     }
 
-    private suspend fun step() {
-        sendReport()
-        val snapshot = config.current() ?: return
-        val wanted = ServedModel.assigned(snapshot, endpoint.id) ?: return
+    override suspend fun follow(
+        snapshot: ConfigSnapshot,
+        turn: StepTurn,
+    ) {
+        val wanted = ServedModel.assigned(snapshot, endpoint.id) ?: return confirm(snapshot, turn)
         val now = served ?: readServed() ?: return
         served = now
-        val turn = context.reporter.turn(endpoint.id, snapshot.revision)
         when {
             now == wanted -> confirm(snapshot, turn)
             turn == StepTurn.WAITING || failedAt == snapshot.revision -> endpoint.state.closed = !now.canStandInFor(wanted)
@@ -48,18 +41,6 @@
         }
     }
 
-    private suspend fun confirm(
-        snapshot: ConfigSnapshot,
-        turn: StepTurn,
-    ) {
-        if (snapshot.state.endpoints[endpoint.id]?.draining == true) {
-            endpoint.refuseWaiting()
-            endpoint.state.awaitIdle()
-        }
-        endpoint.state.closed = false
-        if (turn == StepTurn.DUE) report(snapshot.revision, failure = null)
-    }
-
     private suspend fun change(
         snapshot: ConfigSnapshot,
         wanted: ServedModel,
@@ -74,7 +55,7 @@
         val result = give(wanted, snapshot.revision)
         served = if (result.isRight()) wanted else readServed()
         // A newer revision may have been confirmed during the call; then this order is outdated and nothing is reported.
-        context.refresh.refresh()
+        readConfig()
         val newest = config.current() ?: return
         if (newest.revision != snapshot.revision && ServedModel.assigned(newest, endpoint.id) != wanted) return
         conclude(result, wanted, newest.revision, turn)
@@ -90,13 +71,13 @@
         if (error == null || served == wanted) {
             attempts = 0
             endpoint.state.closed = false
-            if (turn == StepTurn.DUE) report(revision, failure = null)
+            if (turn == StepTurn.DUE) reports.add(revision)
             return
         }
         if (error !is PlatformError.Rejected && ++attempts < settings.orderAttempts) return
         attempts = 0
         failedAt = revision
-        if (turn == StepTurn.DUE) report(revision, error.message)
+        if (turn == StepTurn.DUE) reports.add(revision, error.message)
     }
 
     private suspend fun give(
@@ -113,26 +94,13 @@
     private suspend fun isFresh(): Boolean {
         val pauses = context.pauses.count()
         if (pauses == seenPauses) return true
-        if (!context.refresh.refresh()) return false
+        if (!readConfig()) return false
         seenPauses = pauses
         return true
     }
 
+    private suspend fun readConfig(): Boolean = withTimeoutOrNull(settings.refreshTimeoutMs) { context.refresh.refresh() } == true
+
     private suspend fun readServed(): ServedModel? =
         withTimeoutOrNull(context.sidecar.settings.engineCallTimeoutMs) { engine.load() }?.getOrNull()?.let(ServedModel::reported)
-
-    private suspend fun report(
-        revision: Revision,
-        failure: String?,
-    ) {
-        if (reportedAt == revision) return
-        reportedAt = revision
-        unsentReport = StepReport(endpoint.id, revision, failure)
-        sendReport()
-    }
-
-    private suspend fun sendReport() {
-        val report = unsentReport ?: return
-        if (report.send(context.reporter).isRight()) unsentReport = null
-    }
 }
--- a/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/orders/EndpointOrdersSpec.kt
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/orders/EndpointOrdersSpec.kt
@@ -13,6 +13,7 @@
 import io.knapweedferry.platform.PlatformError
 import io.knapweedferry.platform.engine.EngineOrder
 import io.knapweedferry.sidecar.server.SidecarFixture
+import io.knapweedferry.sidecar.server.SidecarFixture.Companion.ENGINE
 import io.knapweedferry.sidecar.server.SidecarFixture.Companion.MODEL
 import io.knapweedferry.sidecar.server.SidecarFixture.Companion.reserve
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -133,6 +134,23 @@
             body(fixture)
         }
 
+    @Test
+    fun `an endpoint that is drained or unassigned reports its step once its work has ended`() =
+        runTest {
+            for (assignment in listOf(null, EndpointAssignment(EndpointRole.MIXED, MODEL, draining = true))) {
+                reports.clear()
+                val fixture = SidecarFixture(this)
+                fixture.engine.tokenMs = 100
+                fixture.stream()
+                fixture.config = fixture.config(assignment, revision = 2)
+                orders(fixture).start()
+                advanceTimeBy(500)
+                assertEquals(emptyList<String>(), reports)
+                advanceTimeBy(1_000)
+                assertEquals(listOf("applied 2"), reports)
+            }
+        }
+
     private fun orders(fixture: SidecarFixture) =
         EndpointOrders(fixture.sidecar, { refresh() }, Recorder(), wallClockMs = { wallMs + fixture.nowMs })
 
@@ -140,7 +158,7 @@
         override fun turn(
             endpoint: EndpointId,
             revision: Revision,
-        ) = turn
+        ) = if (endpoint == ENGINE) turn else StepTurn.NONE
 
         override suspend fun applied(
             endpoint: EndpointId,
--- a/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/SidecarFixture.kt
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/SidecarFixture.kt
@@ -108,7 +108,7 @@
     }
 
     fun config(
-        assignment: EndpointAssignment,
+        assignment: EndpointAssignment?,
         revision: Long = 1,
         version: String = "1",
     ) = ConfigSnapshot(
@@ -116,7 +116,11 @@
         ConfigState(
             models = mapOf(MODEL to ModelPolicy(version, 10_000), ModelName("other") to ModelPolicy("7", 10_000)),
             services = mapOf(SERVICE_NAME to ServicePolicy(mapOf(READ to OperationPolicy(true), BOOK to OperationPolicy(false)))),
-            endpoints = mapOf(ENGINE to assignment, SERVICE to EndpointAssignment(EndpointRole.SERVICE, service = SERVICE_NAME)),
+            endpoints =
+                listOfNotNull(
+                    assignment?.let { ENGINE to it },
+                    SERVICE to EndpointAssignment(EndpointRole.SERVICE, service = SERVICE_NAME),
+                ).toMap(),
         ),
         revision,
     )
