Add the operator interface of an entry

Operators propose and confirm changes over HTTP. Each handler keeps to its deadline itself and so can say whether something was recorded while the log is silent; a lost answer of the log is resolved by the record's id; a confirmation that loses names the change that won. Reports are typed in the config module, because the operator program reads them too.

--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/report/EndpointsReport.kt
@@ -0,0 +1,15 @@
+package io.knapweedferry.config.report
+
+import io.knapweedferry.api.Revision
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** All endpoints, sorted by id. */
+@Serializable
+public data class EndpointsReport(
+    val revision: Revision,
+    /** False if the platform's instance list did not answer, so that only assigned endpoints are shown. */
+    @SerialName("list_answered")
+    val listAnswered: Boolean,
+    val endpoints: List<EndpointReport>,
+)
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/report/StatusReport.kt
@@ -0,0 +1,29 @@
+package io.knapweedferry.config.report
+
+import io.knapweedferry.api.PlanId
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.Revision
+import io.knapweedferry.config.stream.Decision
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Configuration as one entry sees it. */
+@Serializable
+public data class StatusReport(
+    val process: ProcessId,
+    /** False while the entry has no configuration or has to read it again after it was frozen. */
+    val ready: Boolean,
+    val revision: Revision,
+    @SerialName("folded_offset")
+    val foldedOffset: Long,
+    /** The newest accepted change. */
+    @SerialName("last_change")
+    val lastChange: Decision? = null,
+    val pending: List<PlanId> = emptyList(),
+    /** Steps of the newest change; empty if it has none. */
+    val steps: List<StepReport> = emptyList(),
+    /** True if a failed step keeps the others from starting. */
+    val stopped: Boolean = false,
+    val models: Int = 0,
+    val endpoints: Int = 0,
+)
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFollower.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFollower.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -80,8 +81,12 @@
         wakes.trySend(Unit)
     }
 
-    /** Waits until the record at [offset] is folded. */
-    public suspend fun awaitFolded(offset: Long): FoldState = folds.first { it != null && it.foldedOffset >= offset }!!
+    /** Waits until the record at [offset], which is in the log, is folded. */
+    public suspend fun awaitFolded(offset: Long): FoldState {
+        // The follower may be between two attempts after an outage.
+        wakes.trySend(Unit)
+        return folds.filterNotNull().first { it.foldedOffset >= offset }
+    }
 
     /** Follows the log until it is cancelled. */
     public suspend fun run(): Unit =
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/Decision.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/Decision.kt
@@ -23,4 +23,7 @@
 ) {
     /** True if the confirmation counts. */
     val accepted: Boolean get() = rejection == null
+
+    /** Revision that an accepted confirmation leads to. */
+    val revision: Revision get() = Revision(offset)
 }
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/operator/ChangeExplainer.kt
@@ -0,0 +1,126 @@
+package io.knapweedferry.entry.operator
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import io.knapweedferry.api.PlanId
+import io.knapweedferry.api.StreamName
+import io.knapweedferry.config.report.ChangeExplanation
+import io.knapweedferry.config.report.OperatorProblem
+import io.knapweedferry.config.report.PlanReport
+import io.knapweedferry.config.report.PlanStatus
+import io.knapweedferry.config.report.StepReport
+import io.knapweedferry.config.stream.ConfigFold
+import io.knapweedferry.config.stream.ConfigRecord
+import io.knapweedferry.config.stream.Decision
+import io.knapweedferry.config.stream.FoldState
+import io.knapweedferry.config.stream.RecordCodec
+import io.knapweedferry.config.stream.Rollout
+import io.knapweedferry.platform.log.AppendLog
+import io.knapweedferry.platform.log.LogPage
+import io.knapweedferry.platform.log.LogRecord
+
+/**
+ * Explains one plan from the records of the stream. It folds again from the plan's base on, where no other plan can be
+ * pending, and so reaches the decisions that every process reached.
+ */
+internal class ChangeExplainer(
+    private val log: AppendLog,
+    private val stream: StreamName,
+) {
+    private class Trail(
+        val plan: PlanId,
+    ) {
+        val confirmations = mutableListOf<Decision>()
+        val rejected = mutableListOf<Decision>()
+        var rollout: Rollout? = null
+        var firstAccepted: Decision? = null
+
+        val own: Decision? get() = confirmations.firstOrNull { it.accepted }
+
+        fun add(
+            decision: Decision?,
+            rollout: Rollout?,
+        ) {
+            if (rollout?.plan == plan) this.rollout = rollout
+            if (decision == null) return
+            if (decision.accepted && firstAccepted == null) firstAccepted = decision
+            if (decision.plan == plan) confirmations += decision
+            if (decision.plan != plan && own != null && decision.winner == own?.revision) rejected += decision
+        }
+    }
+
+    /** Explains the plan with this [id], or the plan that the confirmation with this [id] belongs to. */
+    suspend fun explain(id: Long): Either<OperatorProblem, ChangeExplanation> =
+        either {
+            val named = recordAt(id).bind()
+            val planId = if (named is ConfigRecord.PlanConfirmed) named.plan.value else id
+            val proposal = (if (planId == id) named else recordAt(planId).bind()) as? ConfigRecord.PlanProposed
+            if (proposal == null) raise(Problems.noPlan(planId))
+            follow(PlanId(planId), proposal).bind()
+        }
+
+    private suspend fun follow(
+        id: PlanId,
+        proposal: ConfigRecord.PlanProposed,
+    ): Either<OperatorProblem, ChangeExplanation> =
+        either {
+            val base = proposal.plan.base
+            val trail = Trail(id)
+            var fold = FoldState(revision = base, foldedOffset = base.value)
+            var read = 0
+            var complete = true
+            var next: Long? = base.value + 1
+            while (next != null && read < MAX_RECORDS) {
+                val page = read(next, PAGE_RECORDS).bind()
+                // Without the first records a plan that was pending then would be taken for unknown.
+                if (page.firstOffset > next) complete = false
+                for (record in page.records) {
+                    fold = ConfigFold.fold(fold, record).state
+                    trail.add(fold.history.lastOrNull()?.takeIf { it.offset == record.offset }, fold.rollout)
+                }
+                read += page.records.size
+                next = page.records.lastOrNull()?.let { it.offset + 1 }
+            }
+            explanation(id, proposal, trail, fold, complete && next == null)
+        }
+
+    private fun explanation(
+        id: PlanId,
+        proposal: ConfigRecord.PlanProposed,
+        trail: Trail,
+        fold: FoldState,
+        complete: Boolean,
+    ): ChangeExplanation {
+        val status =
+            when {
+                trail.own != null -> PlanStatus.ACCEPTED
+                fold.pending.any { it.id == id } -> PlanStatus.PENDING
+                else -> PlanStatus.SUPERSEDED
+            }
+        val decision = trail.own ?: trail.firstAccepted
+        val report = PlanReport(id, status, proposal.operator, proposal.atMs, proposal.plan, decision)
+        val steps = trail.rollout?.let { StepReport.of(it) } ?: emptyList()
+        return ChangeExplanation(report, trail.confirmations, trail.rejected, steps, complete)
+    }
+
+    private suspend fun recordAt(offset: Long): Either<OperatorProblem, ConfigRecord> {
+        val page = read(offset, 1).fold({ return it.left() }, { it })
+        if (offset < page.firstOffset) return Problems.gone(offset).left()
+        val record: LogRecord? = page.records.firstOrNull { it.offset == offset }
+        return record?.let { RecordCodec.decode(it.payload).getOrNull() }?.right() ?: Problems.noPlan(offset).left()
+    }
+
+    private suspend fun read(
+        offset: Long,
+        maxRecords: Int,
+    ): Either<OperatorProblem, LogPage> = log.read(stream, offset, maxRecords).mapLeft { Problems.logUnavailable(it) }
+
+    private companion object {
+        const val PAGE_RECORDS = 64
+
+        /** About a day of changes of the largest fleet. */
+        const val MAX_RECORDS = 4_000
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/operator/OperatorRoutes.kt
@@ -0,0 +1,176 @@
+package io.knapweedferry.entry.operator
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
+import io.knapweedferry.api.OperatorName
+import io.knapweedferry.api.RequestId
+import io.knapweedferry.config.report.ChangeExplanation
+import io.knapweedferry.config.report.ConfirmReport
+import io.knapweedferry.config.report.EndpointsReport
+import io.knapweedferry.config.report.HistoryReport
+import io.knapweedferry.config.report.OperatorProblem
+import io.knapweedferry.config.report.PlanReport
+import io.knapweedferry.config.report.PlanStatus
+import io.knapweedferry.config.report.StatusReport
+import io.knapweedferry.config.settings.OperatorSettings
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import java.util.concurrent.Semaphore
+import kotlin.time.TimeSource
+
+/**
+ * HTTP interface for operators under `/v1/operator`. Every request needs an operator's token and is answered within
+ * [deadlineMs], also while the log is down.
+ */
+public class OperatorRoutes(
+    private val context: OperatorContext,
+    operators: List<OperatorSettings>,
+    private val requestExplainer: RequestExplainer? = null,
+    private val deadlineMs: Long = 5_000,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+) {
+    private val authenticator = OperatorAuthenticator(operators)
+    private val planMaker = PlanMaker(context)
+    private val confirmer = PlanConfirmer(context)
+    private val reports = StateReports(context)
+    private val explainer = ChangeExplainer(context.log, context.stream)
+
+    /** Operators share the server's threads with callers, so only a few requests may wait for the log at a time. */
+    private val places = Semaphore(MAX_CONCURRENT)
+
+    /** Adds the routes to [config]. */
+    public fun register(config: JavalinConfig) {
+        val routes = config.routes
+        routes.post("$ROOT/intents") { ctx -> answer(ctx, PlanReport.serializer(), CREATED, ::plan) }
+        routes.post("$ROOT/plans/{id}/confirm") { ctx -> answer(ctx, ConfirmReport.serializer(), OK, ::confirm) }
+        routes.get("$ROOT/plans/{id}") { ctx -> answer(ctx, PlanReport.serializer(), OK) { request, _, _ -> planReport(request) } }
+        routes.get("$ROOT/status") { ctx -> answer(ctx, StatusReport.serializer(), OK) { _, _, _ -> reports.status().right() } }
+        routes.get("$ROOT/endpoints") { ctx ->
+            answer(ctx, EndpointsReport.serializer(), OK) { _, _, deadline -> reports.endpoints(deadline).right() }
+        }
+        routes.get("$ROOT/history") { ctx -> answer(ctx, HistoryReport.serializer(), OK) { _, _, _ -> reports.history().right() } }
+        routes.get("$ROOT/changes/{id}/explain") { ctx ->
+            answer(ctx, ChangeExplanation.serializer(), OK) { request, _, _ -> id(request).flatMap { explainer.explain(it) } }
+        }
+        routes.get("$ROOT/requests/{id}/explain") { ctx -> answer(ctx, JsonElement.serializer(), OK) { request, _, _ -> explainRequest(request) } }
+    }
+
+    private suspend fun plan(
+        ctx: Context,
+        operator: OperatorName,
+        deadline: Deadline,
+    ): Either<OperatorProblem, PlanReport> =
+        IntentBody
+            .read(ctx.contentType(), ctx.body(), ctx.queryParam("force") == "true")
+            .flatMap { planMaker.plan(it, operator, deadline) }
+
+    private suspend fun confirm(
+        ctx: Context,
+        operator: OperatorName,
+        deadline: Deadline,
+    ): Either<OperatorProblem, ConfirmReport> = id(ctx).flatMap { confirmer.confirm(it, operator, deadline) }
+
+    /** A plan that can still be confirmed is known here; any other one is read from the log. */
+    private suspend fun planReport(ctx: Context): Either<OperatorProblem, PlanReport> =
+        id(ctx).flatMap { id ->
+            val pending =
+                context.follower
+                    .currentFold()
+                    ?.pending
+                    ?.firstOrNull { it.id.value == id }
+            if (pending != null) {
+                PlanReport(pending.id, PlanStatus.PENDING, pending.operator, pending.atMs, pending.plan).right()
+            } else {
+                explainer.explain(id).map { it.proposal }
+            }
+        }
+
+    private suspend fun explainRequest(ctx: Context): Either<OperatorProblem, JsonElement> {
+        val reader = requestExplainer ?: return Problems.explanationsOff().left()
+        val id = ctx.pathParam("id")
+        return reader.explain(RequestId(id)).mapLeft { Problems.logUnavailable(it) }.flatMap {
+            it?.right() ?: Problems.noRequest(id).left()
+        }
+    }
+
+    private fun id(ctx: Context): Either<OperatorProblem, Long> {
+        val text = ctx.pathParam("id")
+        return text.toLongOrNull()?.takeIf { it >= 0 }?.right() ?: Problems.badId(text).left()
+    }
+
+    private fun <T> answer(
+        ctx: Context,
+        serializer: KSerializer<T>,
+        status: Int,
+        handle: suspend (Context, OperatorName, Deadline) -> Either<OperatorProblem, T>,
+    ) {
+        val result =
+            authenticated(ctx).flatMap { operator ->
+                if (!places.tryAcquire()) return@flatMap Problems.busy().left()
+                try {
+                    run(ctx, operator, handle)
+                } finally {
+                    places.release()
+                }
+            }
+        result.fold(
+            ifLeft = { write(ctx, it.status, "application/problem+json", json.encodeToString(OperatorProblem.serializer(), it)) },
+            ifRight = { write(ctx, status, "application/json", json.encodeToString(serializer, it)) },
+        )
+    }
+
+    private fun authenticated(ctx: Context): Either<OperatorProblem, OperatorName> {
+        authenticator.authenticate(ctx.header("Authorization"))?.let { return it.right() }
+        ctx.header("WWW-Authenticate", "Bearer")
+        return Problems.unauthenticated().left()
+    }
+
+    private fun <T> run(
+        ctx: Context,
+        operator: OperatorName,
+        handle: suspend (Context, OperatorName, Deadline) -> Either<OperatorProblem, T>,
+    ): Either<OperatorProblem, T> =
+        runBlocking {
+            // The handlers keep to the deadline themselves and then know what was recorded; the longer limit is for the rest.
+            withTimeoutOrNull(deadlineMs + GRACE_MS) { handle(ctx, operator, Deadline(timeSource, deadlineMs)) }
+        }
+            ?: (
+                if (ctx.method().name ==
+                    "GET"
+                ) {
+                    Problems.logUnavailable(null)
+                } else {
+                    Problems.uncertain("look at the history, then repeat it")
+                }
+            ).left()
+
+    private fun write(
+        ctx: Context,
+        status: Int,
+        contentType: String,
+        body: String,
+    ) {
+        ctx.status(status).contentType(contentType).result(body)
+    }
+
+    private companion object {
+        const val ROOT = "/v1/operator"
+        const val OK = 200
+        const val CREATED = 201
+        const val MAX_CONCURRENT = 16
+        const val GRACE_MS = 500L
+
+        val json =
+            Json {
+                encodeDefaults = true
+                explicitNulls = false
+            }
+    }
+}
--- /dev/null
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/operator/PlanConfirmer.kt
@@ -0,0 +1,121 @@
+package io.knapweedferry.entry.operator
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import io.knapweedferry.api.OperatorName
+import io.knapweedferry.api.PlanId
+import io.knapweedferry.config.intent.Plan
+import io.knapweedferry.config.report.ConfirmReport
+import io.knapweedferry.config.report.OperatorProblem
+import io.knapweedferry.config.stream.AppendResult
+import io.knapweedferry.config.stream.ConfigRecord
+import io.knapweedferry.config.stream.Decision
+import io.knapweedferry.config.stream.FoldState
+import io.knapweedferry.config.stream.RecordCodec
+import io.knapweedferry.config.stream.RecordId
+import io.knapweedferry.config.stream.RejectionReason
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Appends a confirmation and reports what the fold decided about it; of racing confirmations exactly one wins. */
+internal class PlanConfirmer(
+    private val context: OperatorContext,
+) {
+    suspend fun confirm(
+        id: Long,
+        operator: OperatorName,
+        deadline: Deadline,
+    ): Either<OperatorProblem, ConfirmReport> =
+        either {
+            val fold = ensureNotNull(context.follower.currentFold()) { Problems.notReady() }
+            accepted(fold, id)?.let { return@either report(it, alreadyAccepted = true) }
+            val pending = fold.pending.firstOrNull { it.id.value == id }
+            val plan = pending?.plan ?: findInLog(id, deadline).bind()
+            val current = if (pending != null) fold else folded(id, deadline).bind()
+            val early = if (pending != null) null else decided(current, id, plan)
+            if (early != null) return@either early.bind()
+            append(id, plan, operator, current, deadline).bind()
+        }
+
+    private suspend fun append(
+        id: Long,
+        plan: Plan,
+        operator: OperatorName,
+        fold: FoldState,
+        deadline: Deadline,
+    ): Either<OperatorProblem, ConfirmReport> {
+        val record = ConfigRecord.PlanConfirmed(RecordId.random(), operator, context.clock.millis(), PlanId(id), plan.base)
+        val offset =
+            when (val result = context.appender.append(record, fold.foldedOffset + 1, deadline.remainingMs)) {
+                is AppendResult.Appended -> result.offset
+                is AppendResult.NotAppended -> return Problems.logUnavailable(result.error).left()
+                is AppendResult.Uncertain -> return Problems.uncertain(REPEAT).left()
+            }
+        val after =
+            withTimeoutOrNull(deadline.remainingMs) { context.follower.awaitFolded(offset) } ?: return Problems.uncertain(REPEAT).left()
+        return outcome(after, id, plan, record.recordId)
+    }
+
+    private fun outcome(
+        fold: FoldState,
+        id: Long,
+        plan: Plan,
+        recordId: RecordId,
+    ): Either<OperatorProblem, ConfirmReport> {
+        val decisions = fold.history.filter { it.recordId == recordId }
+        decisions.firstOrNull { it.accepted }?.let { return report(it, alreadyAccepted = false).right() }
+        if (decisions.any { it.rejection == RejectionReason.UNKNOWN_PLAN }) return Problems.displaced(id).left()
+        return decided(fold, id, plan) ?: Problems.uncertain(REPEAT).left()
+    }
+
+    /** What [fold] says about a plan that was read from the log, or null if the plan can be confirmed. */
+    private fun decided(
+        fold: FoldState,
+        id: Long,
+        plan: Plan,
+    ): Either<OperatorProblem, ConfirmReport>? {
+        accepted(fold, id)?.let { return report(it, alreadyAccepted = true).right() }
+        if (fold.pending.any { it.id.value == id }) return null
+        if (fold.revision <= plan.base) return Problems.displaced(id).left()
+        return Problems.lostRace(id, fold.history.firstOrNull { it.accepted && it.offset > plan.base.value }).left()
+    }
+
+    private fun accepted(
+        fold: FoldState,
+        id: Long,
+    ): Decision? = fold.history.firstOrNull { it.accepted && it.plan.value == id }
+
+    private suspend fun findInLog(
+        id: Long,
+        deadline: Deadline,
+    ): Either<OperatorProblem, Plan> {
+        val page =
+            withTimeoutOrNull(deadline.remainingMs) { context.log.read(context.stream, id, 1) }
+                ?: return Problems.logUnavailable(null).left()
+        return page.fold(
+            ifLeft = { Problems.logUnavailable(it).left() },
+            ifRight = { found ->
+                val record = found.records.firstOrNull { it.offset == id }?.let { RecordCodec.decode(it.payload).getOrNull() }
+                (record as? ConfigRecord.PlanProposed)?.plan?.right() ?: Problems.noPlan(id).left()
+            },
+        )
+    }
+
+    /** Waits until this entry has folded the plan, which may have been proposed through another entry just now. */
+    private suspend fun folded(
+        id: Long,
+        deadline: Deadline,
+    ): Either<OperatorProblem, FoldState> =
+        withTimeoutOrNull(deadline.remainingMs) { context.follower.awaitFolded(id) }?.right() ?: Problems.logUnavailable(null).left()
+
+    private fun report(
+        decision: Decision,
+        alreadyAccepted: Boolean,
+    ) = ConfirmReport(decision.plan, decision.revision, decision.summary, alreadyAccepted)
+
+    private companion object {
+        const val REPEAT = "look at the history or confirm again; a plan is never applied twice"
+    }
+}
