--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/PlanStepReporter.kt
@@ -0,0 +1,80 @@
+package io.knapweedferry.daemon.process
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.PlanId
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.Revision
+import io.knapweedferry.config.stream.AppendResult
+import io.knapweedferry.config.stream.ConfigFollower
+import io.knapweedferry.config.stream.ConfigRecord
+import io.knapweedferry.config.stream.RecordAppender
+import io.knapweedferry.config.stream.RecordId
+import io.knapweedferry.platform.PlatformError
+import io.knapweedferry.sidecar.orders.StepReporter
+import io.knapweedferry.sidecar.orders.StepTurn
+import java.time.InstantSource
+
+/** Tells a sidecar whose turn it is in the plan in progress, and records the results of its steps in the log. */
+internal class PlanStepReporter(
+    private val follower: ConfigFollower,
+    private val appender: RecordAppender,
+    private val process: ProcessId,
+    private val clock: InstantSource = InstantSource.system(),
+) : StepReporter {
+    private class OpenStep(
+        val plan: PlanId,
+        val number: Int,
+        val foldedOffset: Long,
+    )
+
+    override fun turn(
+        endpoint: EndpointId,
+        revision: Revision,
+    ): StepTurn = if (openStep(endpoint, revision) == null) StepTurn.NONE else StepTurn.DUE
+
+    override suspend fun applied(
+        endpoint: EndpointId,
+        revision: Revision,
+    ): Either<PlatformError, Unit> {
+        val step = openStep(endpoint, revision) ?: return Unit.right()
+        return append(step, ConfigRecord.StepApplied(RecordId.random(), process, clock.millis(), step.plan, step.number, endpoint))
+    }
+
+    override suspend fun failed(
+        endpoint: EndpointId,
+        revision: Revision,
+        detail: String,
+    ): Either<PlatformError, Unit> {
+        val step = openStep(endpoint, revision) ?: return Unit.right()
+        return append(step, ConfigRecord.StepFailed(RecordId.random(), process, clock.millis(), step.plan, step.number, endpoint, detail))
+    }
+
+    /** The step of [endpoint] that is due, or null if there is none or a newer plan took its place. */
+    private fun openStep(
+        endpoint: EndpointId,
+        revision: Revision,
+    ): OpenStep? {
+        val fold = follower.currentFold() ?: return null
+        val target = fold.target(endpoint) ?: return null
+        val plan = target.plan ?: return null
+        val number = target.step ?: return null
+        return if (target.revision == revision) OpenStep(plan, number, fold.foldedOffset) else null
+    }
+
+    private suspend fun append(
+        step: OpenStep,
+        record: ConfigRecord,
+    ): Either<PlatformError, Unit> =
+        when (val result = appender.append(record, step.foldedOffset + 1, APPEND_TIMEOUT_MS)) {
+            is AppendResult.Appended -> Unit.right()
+            is AppendResult.NotAppended -> result.error.left()
+            is AppendResult.Uncertain -> result.error.left()
+        }
+
+    private companion object {
+        const val APPEND_TIMEOUT_MS = 5_000L
+    }
+}
--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
@@ -8,6 +8,7 @@
 import io.knapweedferry.config.settings.SidecarSettings
 import io.knapweedferry.config.stream.ConfigFollower
 import io.knapweedferry.config.stream.FollowerSettings
+import io.knapweedferry.config.stream.RecordAppender
 import io.knapweedferry.entry.observe.FollowerEvents
 import io.knapweedferry.platform.engine.HttpEngine
 import io.knapweedferry.platform.http.HttpTransport
@@ -25,6 +26,8 @@
 import io.knapweedferry.session.SessionServer
 import io.knapweedferry.session.SessionSettings
 import io.knapweedferry.session.Sessions
+import io.knapweedferry.sidecar.orders.ConfigRefresh
+import io.knapweedferry.sidecar.orders.EndpointOrders
 import io.knapweedferry.sidecar.server.ClaimVoider
 import io.knapweedferry.sidecar.server.EndpointDefinition
 import io.knapweedferry.sidecar.server.Sidecar
@@ -37,6 +40,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
@@ -101,6 +105,13 @@
             scope = scope,
             counters = MeteredSidecar(metrics),
         )
+    private val orders =
+        EndpointOrders(
+            sidecar = sidecar,
+            refresh = ConfigRefresh { follower.states.first { follower.current() != null } != null },
+            reporter = PlanStepReporter(follower, RecordAppender(log), settings.process.id),
+            targets = { TargetConfig(follower, it) },
+        )
     private var server: SessionServer? = null
     private val http = settings.http.address?.let { SidecarHttp(it, { follower.current() != null }, metrics::scrape) }
 
@@ -116,6 +127,7 @@
         scope.launch { follower.run() }
         scope.launch { followInstances() }
         sidecar.start()
+        orders.start()
         http?.start()
     }
 
--- /dev/null
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/TargetConfig.kt
@@ -0,0 +1,27 @@
+package io.knapweedferry.daemon.process
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.config.state.ConfigSnapshot
+import io.knapweedferry.config.state.ConfigSource
+import io.knapweedferry.config.stream.ConfigFollower
+
+/**
+ * Configuration as one endpoint is to carry it out now. While a plan is in progress this differs from what requests see:
+ * an endpoint whose step is due already has its new assignment and version here.
+ */
+internal class TargetConfig(
+    private val follower: ConfigFollower,
+    private val endpoint: EndpointId,
+) : ConfigSource {
+    override fun current(): ConfigSnapshot? {
+        val fold = follower.currentFold() ?: return null
+        val snapshot = fold.snapshot()
+        val target = fold.target(endpoint) ?: return snapshot
+        val model = target.assignment.model
+        val policy = model?.let { snapshot.state.models[it] }
+        val version = target.version
+        val models = if (policy == null || version == null) snapshot.state.models else snapshot.state.models + (model to policy.copy(version = version))
+        val state = snapshot.state.copy(models = models, endpoints = snapshot.state.endpoints + (endpoint to target.assignment))
+        return ConfigSnapshot(target.revision, state, snapshot.foldedOffset)
+    }
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -65,7 +65,7 @@
             services = serviceRoute(),
             models = ModelsRoute(follower, authenticator),
             operator = operator,
-            isReady = { follower.current() != null && !limit.isClosed },
+            isReady = { follower.current() != null && fleet.isLoaded && !limit.isClosed },
             scrape = metrics::scrape,
         )
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/Fleet.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/Fleet.kt
@@ -2,11 +2,14 @@
 
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.api.ModelName
+import io.knapweedferry.api.Revision
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.config.state.EndpointRole
 
 /** Immutable view of the endpoints that an entry may use, replaced as a whole when list or configuration change. */
 internal data class Fleet(
+    /** Revision of the configuration that the endpoints were taken from. */
+    val revision: Revision,
     val members: Map<EndpointId, FleetMember>,
 ) {
     /** Endpoints with one of [roles] for [model]. */
@@ -19,6 +22,6 @@
     fun servicesFor(service: ServiceName): List<FleetMember> = members.values.filter { it.assignment.service == service }
 
     companion object {
-        val EMPTY = Fleet(emptyMap())
+        val EMPTY = Fleet(Revision.NONE, emptyMap())
     }
 }
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
@@ -1,12 +1,14 @@
 package io.knapweedferry.entry.fleet
 
 import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.Revision
 import io.knapweedferry.config.state.ConfigSource
 import io.knapweedferry.platform.instance.InstanceList
 import io.knapweedferry.platform.instance.InstanceState
 import io.knapweedferry.platform.instance.ListedInstance
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.collectLatest
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -35,12 +37,19 @@
         return FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, assignment)
     }
 
+    /** True once the platform's list and a configuration were joined. */
+    val isLoaded: Boolean get() = listed.get().isNotEmpty() && fleet.get().revision > Revision.NONE
+
     /** Session addresses of all listed instances. */
     fun addresses(): List<String> = listed.get().map { it.sessionAddress }
 
     /** Joins again at once when the configuration changes, without asking the platform. */
     suspend fun refreshOn(changes: Flow<*>) {
-        changes.collect { fleet.set(join(listed.get())) }
+        changes.collectLatest {
+            // A follower publishes a state shortly before it vouches for it.
+            while (config.current() == null) delay(RETRY_MS.milliseconds)
+            fleet.set(join(listed.get()))
+        }
     }
 
     suspend fun poll() {
@@ -56,7 +65,8 @@
     }
 
     private fun join(instances: List<ListedInstance>): Fleet {
-        val assignments = config.current()?.state?.endpoints ?: return Fleet.EMPTY
+        val snapshot = config.current() ?: return fleet.get()
+        val assignments = snapshot.state.endpoints
         val members =
             instances
                 .filter { it.state == InstanceState.LIVE }
@@ -66,6 +76,10 @@
                         ?.takeUnless { it.draining }
                         ?.let { FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, it) }
                 }
-        return Fleet(members.associateBy { it.endpoint })
+        return Fleet(snapshot.revision, members.associateBy { it.endpoint })
+    }
+
+    private companion object {
+        const val RETRY_MS = 20L
     }
 }
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EndpointSwitch.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EndpointSwitch.kt
@@ -15,7 +15,8 @@
         prepare()
         while (true) {
             reports.send()
-            context.sidecar.config
+            context
+                .targets(endpoint.id)
                 .current()
                 ?.let { follow(it, context.reporter.turn(endpoint.id, it.revision)) }
             delay(context.settings.pollMs)
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EngineSwitch.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/orders/EngineSwitch.kt
@@ -14,7 +14,7 @@
     private val endpoint: EngineEndpoint,
     context: OrderContext,
 ) : EndpointSwitch(endpoint, context) {
-    private val config = context.sidecar.config
+    private val config = context.targets(endpoint.id)
     private val settings = context.settings
     private val engine = endpoint.definition.engine
     private var served: ServedModel? = null
