Add the operator program

Operators need one program for status, intents, plans, confirmations, history and explanations. Entries are tried in turn within one time limit; repeating an intent or a confirmation at the next entry is safe, because a plan is applied once. kotlinx-cli ends the process with code 127 for a faulty command line, so its internal end function is replaced to keep the documented exit codes. The module now depends on config for intents, reports and settings.

--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/OperatorProgram.kt
@@ -0,0 +1,77 @@
+package io.knapweedferry.cli
+
+import io.knapweedferry.cli.command.CliCommand
+import io.knapweedferry.cli.command.ConfirmCommand
+import io.knapweedferry.cli.command.EndpointsCommand
+import io.knapweedferry.cli.command.ExplainCommands
+import io.knapweedferry.cli.command.HistoryCommand
+import io.knapweedferry.cli.command.IntentCommands
+import io.knapweedferry.cli.command.PlanCommands
+import io.knapweedferry.cli.command.StatusCommand
+import kotlinx.cli.ArgParser
+import java.io.PrintStream
+
+/** Parses a command line, runs the command and prints the answer. */
+internal class OperatorProgram(
+    private val output: PrintStream,
+    private val errors: PrintStream,
+) {
+    /** Runs the command of [arguments]. */
+    fun run(arguments: Array<String>): ExitCode =
+        try {
+            execute(arguments)
+        } catch (usage: UsageException) {
+            val stream = if (usage.exitCode == ExitCode.OK) output else errors
+            stream.println(usage.message)
+            usage.exitCode
+        }
+
+    private fun execute(arguments: Array<String>): ExitCode {
+        // Without a strict order a group answers --help for its commands, and with it global options may not follow a command.
+        val strict = arguments.any { it == "--help" || it == "-h" }
+        val parser = ArgParser("knapweedferry", strictSubcommandOptionsOrder = strict)
+        ParserExit.install(parser)
+        val options = GlobalOptions(parser)
+        var selected: CliCommand? = null
+        val select: (CliCommand) -> Unit = { selected = it }
+        val intent = IntentCommands()
+        val plan = PlanCommands()
+        val explain = ExplainCommands()
+        val status = StatusCommand(select)
+        val endpoints = EndpointsCommand(select)
+        parser.subcommands(status, endpoints, intent, plan, ConfirmCommand(select), HistoryCommand(select), explain)
+        for (group in listOf(intent, plan, explain)) {
+            group.strictSubcommandOptionsOrder = strict
+            group.addCommands(select)
+        }
+        parser.parse(arguments)
+        val command = selected ?: throw UsageException("no command is named; see knapweedferry --help")
+        val request = command.request()
+        val settings = options.settings()
+        val client = OperatorClient(settings.entries, options.token(settings), settings.timeoutMs)
+        return print(client.send(request), request, settings.output)
+    }
+
+    private fun print(
+        reply: ClientReply,
+        request: OperatorRequest,
+        format: OutputFormat,
+    ): ExitCode =
+        when (reply) {
+            is ClientReply.Answered -> {
+                output.println(if (format == OutputFormat.JSON) reply.body else request.render(reply.body).trimEnd())
+                ExitCode.OK
+            }
+
+            is ClientReply.Refused -> {
+                errors.println("${reply.problem.title}: ${reply.problem.detail}")
+                ExitCode.REFUSED
+            }
+
+            is ClientReply.Unreachable -> {
+                reply.failures.forEach { errors.println(it) }
+                errors.println("no entry answered; check the entries and the log, and look at the history before repeating a confirmation")
+                ExitCode.UNREACHABLE
+            }
+        }
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/command/DrainCommand.kt
@@ -0,0 +1,14 @@
+package io.knapweedferry.cli.command
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.config.intent.Intent
+import kotlinx.cli.ArgType
+
+/** `intent drain ENDPOINT`. */
+internal class DrainCommand(
+    select: (CliCommand) -> Unit,
+) : IntentCommand("drain", "Let an endpoint finish its work and give it nothing new", select) {
+    private val endpoint by argument(ArgType.String, "endpoint", "Id of the endpoint")
+
+    override fun intent() = Intent.DrainEndpoint(EndpointId(endpoint), force)
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/command/EndpointsCommand.kt
@@ -0,0 +1,11 @@
+package io.knapweedferry.cli.command
+
+import io.knapweedferry.cli.OperatorRequest
+import io.knapweedferry.cli.text.StatusText
+
+/** `endpoints`. */
+internal class EndpointsCommand(
+    select: (CliCommand) -> Unit,
+) : CliCommand("endpoints", "List the endpoints with what they serve", select) {
+    override fun request() = OperatorRequest("endpoints", render = StatusText::endpoints)
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/command/IntentCommand.kt
@@ -0,0 +1,23 @@
+package io.knapweedferry.cli.command
+
+import io.knapweedferry.cli.OperatorRequest
+import io.knapweedferry.cli.text.PlanText
+import io.knapweedferry.config.intent.Intent
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.serialization.json.Json
+
+/** A subcommand that proposes a change and shows the plan. */
+internal abstract class IntentCommand(
+    name: String,
+    description: String,
+    select: (CliCommand) -> Unit,
+) : CliCommand(name, description, select) {
+    protected val force: Boolean by option(ArgType.Boolean, "force", "f", "Accept warnings that would refuse the plan").default(false)
+
+    /** What the operator wants. */
+    abstract fun intent(): Intent
+
+    final override fun request() =
+        OperatorRequest("intents", Json.encodeToString(Intent.serializer(), intent()), render = PlanText::proposed)
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/command/IntentCommands.kt
@@ -0,0 +1,17 @@
+package io.knapweedferry.cli.command
+
+/** `intent ...`: everything that operators can ask for. */
+internal class IntentCommands :
+    CommandGroup("intent", "Propose a change; the answer is a plan, which changes nothing until it is confirmed") {
+    override fun commands(select: (CliCommand) -> Unit): List<CliCommand> =
+        listOf(
+            ApplyCommand(select),
+            AssignCommand(select),
+            DrainCommand(select),
+            RemoveCommand(select),
+            WorkCommand(select),
+            RankCommand(select),
+            OrganisationCommand(select),
+            ModelCommand(select),
+        )
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/command/OffsetType.kt
@@ -0,0 +1,15 @@
+package io.knapweedferry.cli.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ParsingException
+
+/** Ids of plans and changes, which are offsets of the log. */
+internal object OffsetType : ArgType<Long>(true) {
+    override val description: kotlin.String = "{ Number }"
+
+    override fun convert(
+        value: kotlin.String,
+        name: kotlin.String,
+    ): Long =
+        value.toLongOrNull()?.takeIf { it >= 0 } ?: throw ParsingException("Option $name is expected to be a number. $value is provided.")
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/command/RankCommand.kt
@@ -0,0 +1,23 @@
+package io.knapweedferry.cli.command
+
+import io.knapweedferry.api.Rank
+import io.knapweedferry.config.intent.Intent
+import io.knapweedferry.config.state.RankPolicy
+import kotlinx.cli.ArgType
+import kotlinx.cli.required
+
+/** `intent rank RANK`. */
+internal class RankCommand(
+    select: (CliCommand) -> Unit,
+) : IntentCommand("rank", "Set targets and minimum share of a rank", select) {
+    private val rank by argument(ArgType.Choice<Rank>(), "rank", "Rank to change")
+    private val firstTokenMs by option(ArgType.Int, "first-token-ms", description = "Target for the first token").required()
+    private val interTokenMs by option(ArgType.Int, "inter-token-ms", description = "Target between two tokens").required()
+    private val deadlineMs by option(ArgType.Int, "deadline-ms", description = "Deadline if the caller names none").required()
+    private val floorPercent by option(ArgType.Int, "floor-percent", description = "Share of capacity kept for the rank").required()
+
+    override fun intent(): Intent {
+        val policy = RankPolicy(firstTokenMs.toLong(), interTokenMs.toLong(), deadlineMs.toLong(), floorPercent)
+        return Intent.SetRank(rank, policy, force)
+    }
+}
--- /dev/null
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/text/ChangeText.kt
@@ -0,0 +1,63 @@
+package io.knapweedferry.cli.text
+
+import io.knapweedferry.config.report.ChangeExplanation
+import io.knapweedferry.config.report.ConfirmReport
+import io.knapweedferry.config.report.HistoryReport
+import io.knapweedferry.config.stream.Decision
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import java.time.Instant
+
+/** Text of decisions and explanations. */
+internal object ChangeText {
+    private val pretty = Json { prettyPrint = true }
+
+    fun confirmed(body: String): String {
+        val report = ReportJson.read(ConfirmReport.serializer(), body)
+        val how = if (report.alreadyAccepted) "was accepted before" else "is accepted"
+        return "plan ${report.plan.value} (${report.summary}) $how as revision ${report.revision.value}"
+    }
+
+    fun history(body: String): String = decisions(ReportJson.read(HistoryReport.serializer(), body).decisions)
+
+    fun explanation(body: String): String {
+        val report = ReportJson.read(ChangeExplanation.serializer(), body)
+        val parts =
+            listOf(
+                PlanText.text(report.proposal),
+                titled("Confirmations", report.confirmations),
+                titled("Rejected because this change came first", report.rejected),
+                if (report.steps.isEmpty()) "" else "Progress:\n" + StatusText.steps(report.steps),
+                if (report.complete) "" else "Not all records could be read; the log no longer holds some, or there are too many.",
+            )
+        return parts.filter { it.isNotEmpty() }.joinToString("\n\n")
+    }
+
+    fun request(body: String): String = pretty.encodeToString(JsonElement.serializer(), ReportJson.read(JsonElement.serializer(), body))
+
+    private fun titled(
+        title: String,
+        decisions: List<Decision>,
+    ): String = if (decisions.isEmpty()) "" else "$title:\n" + decisions(decisions)
+
+    private fun decisions(decisions: List<Decision>): String =
+        TextTable.format(
+            listOf("OFFSET", "TIME", "PLAN", "OPERATOR", "RESULT", "SUMMARY"),
+            decisions.map {
+                listOf(
+                    "${it.offset}",
+                    Instant.ofEpochMilli(it.atMs).toString(),
+                    "${it.plan.value}",
+                    it.confirmedBy.value,
+                    result(it),
+                    it.summary,
+                )
+            },
+        )
+
+    private fun result(decision: Decision): String {
+        val reason = decision.rejection ?: return "accepted"
+        val first = decision.winner?.let { ", change ${it.value} came first" } ?: ""
+        return "rejected: ${reason.name.lowercase()}$first"
+    }
+}
--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SettingsLoader.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SettingsLoader.kt
@@ -87,9 +87,19 @@
         TomlTree
             .parse(text)
             .mapLeft { listOf(SettingsProblem(file, "", "is not valid TOML: $it", "correct the syntax")) }
-            .flatMap { tree -> check(file, tree, serializer, style) }
+            .flatMap { tree -> checked(file, tree, serializer, style) }
 
-    private fun <T> check(
+    /** Checks values that did not come from a file, such as those of a command line; [source] names where they came from. */
+    public fun <T> check(
+        source: String,
+        settings: T,
+        serializer: KSerializer<T>,
+    ): List<SettingsProblem> {
+        val tree = Json { explicitNulls = false }.encodeToJsonElement(serializer, settings) as JsonObject
+        return TreeCheck(source, TreeStyle.SETTINGS).problems(tree, serializer.descriptor)
+    }
+
+    private fun <T> checked(
         file: String,
         tree: JsonObject,
         serializer: KSerializer<T>,
