Run a whole deployment on loopback: demo and serve commands

One streamed and one whole answer, a tag stamp repeated under one key through two entries and a change by plan pass through two entries and four sidecars.

--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/DaemonCommand.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/command/DaemonCommand.kt
@@ -28,7 +28,11 @@
         "print-config",
         description = "print the effective settings without secrets and exit",
     ).default(false)
-    private val logFormat by option(ArgType.Choice<EventFormat>(), "log-format", description = "form of log lines").default(EventFormat.TEXT)
+    private val logFormat by option(
+        ArgType.Choice<EventFormat>(),
+        "log-format",
+        description = "form of log lines",
+    ).default(EventFormat.TEXT)
 
     /** Reads and validates the settings file, and the files that it names. */
     protected abstract fun load(file: Path): Either<List<SettingsProblem>, S>
--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
@@ -180,7 +180,12 @@
 
     private fun gate(limits: GateLimits): AdmissionGate {
         if (settings.gate.policy == GatePolicyName.FIFO) return FifoGate(limits)
-        val ranks = follower.current()?.state?.ranks.orEmpty()
+        val ranks =
+            follower
+                .current()
+                ?.state
+                ?.ranks
+                .orEmpty()
         return RankedGate(limits, RankedGateSettings(floorPercent = ranks.mapValues { it.value.floorPercent }))
     }
 
--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/TargetConfig.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/TargetConfig.kt
@@ -20,7 +20,14 @@
         val model = target.assignment.model
         val policy = model?.let { snapshot.state.models[it] }
         val version = target.version
-        val models = if (policy == null || version == null) snapshot.state.models else snapshot.state.models + (model to policy.copy(version = version))
+        val models =
+            if (policy == null ||
+                version == null
+            ) {
+                snapshot.state.models
+            } else {
+                snapshot.state.models + (model to policy.copy(version = version))
+            }
         val state = snapshot.state.copy(models = models, endpoints = snapshot.state.endpoints + (endpoint to target.assignment))
         return ConfigSnapshot(target.revision, state, snapshot.foldedOffset)
     }
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
@@ -5,8 +5,8 @@
 import io.knapweedferry.config.settings.HttpSettings
 import io.knapweedferry.entry.http.ChatRoute
 import io.knapweedferry.entry.http.ModelsRoute
-import io.knapweedferry.entry.http.ServiceRoute
 import io.knapweedferry.entry.http.RouteGroup
+import io.knapweedferry.entry.http.ServiceRoute
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
@@ -33,7 +33,12 @@
     /** Member with its last known address, also while it is leaving. */
     fun memberOf(endpoint: EndpointId): FleetMember? {
         val instance = listed.get().firstOrNull { listed -> listed.endpoints.any { it.endpoint == endpoint } } ?: return null
-        val assignment = config.current()?.state?.endpoints?.get(endpoint) ?: return null
+        val assignment =
+            config
+                .current()
+                ?.state
+                ?.endpoints
+                ?.get(endpoint) ?: return null
         return FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, assignment)
     }
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ChatRoute.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ChatRoute.kt
@@ -97,7 +97,16 @@
         outcome: Outcome,
         observer: RequestObserver,
     ) {
-        observer.finished(RequestKind.MODEL, job.rank, outcome, config.current()?.state?.ranks?.get(job.rank))
+        observer.finished(
+            RequestKind.MODEL,
+            job.rank,
+            outcome,
+            config
+                .current()
+                ?.state
+                ?.ranks
+                ?.get(job.rank),
+        )
     }
 
     private fun stream(
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ModelsRoute.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ModelsRoute.kt
@@ -25,8 +25,13 @@
         authenticator.authenticate(request.bearerToken, snapshot).fold(
             { ProblemResponse.write(ctx, ProblemDetail.of(it, request.requestId)) },
             { organisation ->
-                val allowed = snapshot.state.organisations.getValue(organisation).models
-                val names = snapshot.state.models.keys.filter { allowed.isEmpty() || it in allowed }
+                val allowed =
+                    snapshot.state.organisations
+                        .getValue(organisation)
+                        .models
+                val names =
+                    snapshot.state.models.keys
+                        .filter { allowed.isEmpty() || it in allowed }
                 ctx.contentType("application/json").result(listing(names.map { it.value }.sorted()))
             },
         )
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/RequestObservers.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/RequestObservers.kt
@@ -13,6 +13,5 @@
     private val events: EventLog,
     private val timeSource: TimeSource,
 ) {
-    fun start(requestId: RequestId): RequestObserver =
-        RequestObserver(audit.start(requestId), metrics, events, audit::submit, timeSource)
+    fun start(requestId: RequestId): RequestObserver = RequestObserver(audit.start(requestId), metrics, events, audit::submit, timeSource)
 }
--- a/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/InvokeHandlerSpec.kt
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/InvokeHandlerSpec.kt
@@ -148,7 +148,8 @@
 
     private suspend fun status(fixture: SidecarFixture) = fixture.ask(ClaimQuery(SERVICE, claim())).single() as ClaimStatus
 
-    private fun claim(incarnation: Incarnation = INCARNATION) = ClaimRef(ClaimId("c"), IdempotencyKey("k"), 1, incarnation, StreamName("claims-0"))
+    private fun claim(incarnation: Incarnation = INCARNATION) =
+        ClaimRef(ClaimId("c"), IdempotencyKey("k"), 1, incarnation, StreamName("claims-0"))
 
     private fun invoke(
         request: String,
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.testing
 
 import io.knapweedferry.testing.command.DemoCommand
+import io.knapweedferry.testing.command.ServeCommand
 import io.knapweedferry.testing.command.StandInsCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
@@ -11,6 +12,6 @@
     // The library folder is shared with other programs, so the usual resource name could find the settings of another one.
     System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
     val parser = ArgParser("knapweedferry-testbed")
-    parser.subcommands(StandInsCommand(), DemoCommand())
+    parser.subcommands(StandInsCommand(), DemoCommand(), ServeCommand())
     parser.parse(arguments)
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/demo/Demo.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/demo/Demo.kt
@@ -71,8 +71,7 @@
         work: String,
         prompt: String,
         stream: Boolean,
-    ): String =
-        """{"messages":[{"role":"user","content":"$prompt"}],"stream":$stream,"max_tokens":64,"metadata":{"work":"$work"}}"""
+    ): String = """{"messages":[{"role":"user","content":"$prompt"}],"stream":$stream,"max_tokens":64,"metadata":{"work":"$work"}}"""
 
     private fun post(
         entry: Int,
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/DeploymentLayout.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/DeploymentLayout.kt
@@ -55,7 +55,10 @@
             name = engine.name,
             port = 0,
             model = engine.model,
-            version = plan.policies.models.getValue(ModelName(engine.model)).version,
+            version =
+                plan.policies.models
+                    .getValue(ModelName(engine.model))
+                    .version,
             role = engine.role.name.lowercase(),
             link = engine.availabilityZone,
             slots = engine.slots,
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
@@ -1,7 +1,10 @@
 package io.knapweedferry.testing.deploy
 
+import io.knapweedferry.api.Revision
 import io.knapweedferry.config.intent.Intent
 import io.knapweedferry.config.report.PlanReport
+import io.knapweedferry.config.report.StatusReport
+import io.knapweedferry.config.report.StepStatus
 import io.knapweedferry.testing.standin.StandIns
 import kotlinx.serialization.json.Json
 import okhttp3.MediaType.Companion.toMediaType
@@ -54,13 +57,25 @@
         entries.indices.forEach { awaitLive(it) }
         applyFleet()
         entries.indices.forEach { awaitReady(it) }
+        entries.indices.forEach { awaitRollout(it) }
+    }
+
+    /** Waits until an entry knows that all steps of the newest plan are applied. */
+    public fun awaitRollout(index: Int) {
+        val deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS)
+        while (System.nanoTime() < deadline) {
+            val status = lenient.decodeFromString(StatusReport.serializer(), operate(index, "/status", null))
+            if (status.steps.all { it.status == StepStatus.APPLIED } && status.revision > Revision.NONE) return
+            Thread.sleep(POLL_MS)
+        }
+        error("the plan was not carried out in time: ${operate(index, "/status", null)}")
     }
 
     /** Proposes and confirms the whole fleet of the plan. */
     public fun applyFleet() {
         val intent = Json.encodeToString(Intent.serializer(), Intent.ApplyFleet(layout.fleet(), force = true))
-        val report = Json { ignoreUnknownKeys = true }.decodeFromString(PlanReport.serializer(), operate("/intents", intent))
-        operate("/plans/${report.id.value}/confirm", "")
+        val report = lenient.decodeFromString(PlanReport.serializer(), operate(0, "/intents", intent))
+        operate(0, "/plans/${report.id.value}/confirm", "")
     }
 
     /** File with the token of the operator `alice`, for the command-line client. */
@@ -91,18 +106,19 @@
             null
         }
 
-    private fun operate(
+    /** One call of the operator interface: a GET without [body], else a POST. */
+    public fun operate(
+        index: Int,
         path: String,
-        body: String,
+        body: String?,
     ): String {
         val request =
             Request
                 .Builder()
-                .url("${entryUrl(0)}/v1/operator$path")
+                .url("${entryUrl(index)}/v1/operator$path")
                 .header("Authorization", "Bearer ${Deployments.OPERATOR_TOKEN}")
-                .post(body.toRequestBody("application/json".toMediaType()))
-                .build()
-        return http.newCall(request).execute().use { response ->
+        body?.let { request.post(it.toRequestBody("application/json".toMediaType())) }
+        return http.newCall(request.build()).execute().use { response ->
             val text = response.body.string()
             check(response.isSuccessful) { "operator call $path gave ${response.code}: $text" }
             text
@@ -119,6 +135,7 @@
     }
 
     private companion object {
+        val lenient = Json { ignoreUnknownKeys = true }
         const val CALL_TIMEOUT_MS = 10_000L
         const val START_TIMEOUT_MS = 30_000L
         const val POLL_MS = 50L
