Add a TCP fault proxy with seeded faults

Integration tests need connections that are cut, delayed or silent without changing the processes under test. 'knapweedferry-testbed proxy' forwards ports through Ktor sockets; an HTTP admin port switches the faults, and a silent connection never recovers while new ones work. All specs of the module pass: mvn -o -q -B verify -pl knapweedferry-testing -am.

--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -1,5 +1,6 @@
 package io.knapweedferry.testing
 
+import io.knapweedferry.testing.command.ProxyCommand
 import io.knapweedferry.testing.command.StandInsCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
@@ -10,6 +11,6 @@
     // The library folder is shared with other programs, so the usual resource name could find the settings of another one.
     System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
     val parser = ArgParser("knapweedferry-testbed")
-    parser.subcommands(StandInsCommand())
+    parser.subcommands(StandInsCommand(), ProxyCommand())
     parser.parse(arguments)
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/command/StandInsCommand.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/command/StandInsCommand.kt
@@ -17,9 +17,6 @@
         val standIns = StandIns(StandInsSettings.load(Path.of(config)))
         standIns.start()
         Runtime.getRuntime().addShutdownHook(Thread(standIns::close))
-        println("ready")
-        // Scripts wait for this line before they start anything that connects.
-        System.out.flush()
-        Thread.currentThread().join()
+        Ready.announceAndWait()
     }
 }
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/fault/FaultRoutes.kt
@@ -0,0 +1,52 @@
+package io.knapweedferry.testing.fault
+
+import io.javalin.config.RoutesConfig
+import io.javalin.http.Context
+import io.knapweedferry.testing.standin.http.Calls
+import io.knapweedferry.testing.standin.http.StandInFailure
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.builtins.ListSerializer
+
+/** Admin paths of the fault proxy. */
+internal class FaultRoutes(
+    private val calls: Calls,
+    private val routes: Map<String, ProxyRoute>,
+) {
+    fun register(config: RoutesConfig) {
+        config.get("/admin/routes") { context ->
+            calls.answer(context) {
+                Calls.json.encodeToString(ListSerializer(RouteStatus.serializer()), routes.values.map { it.status() })
+            }
+        }
+        order(config, "cut", CutOrder.serializer(), ProxyRoute::cut)
+        order(config, "delay", DelayOrder.serializer()) { delay(it) }
+        order(config, "silence", SilenceOrder.serializer()) { silence(it) }
+        config.post("$PATH/heal") { context -> change(context) { heal() } }
+    }
+
+    private fun <T> order(
+        config: RoutesConfig,
+        name: String,
+        serializer: KSerializer<T>,
+        action: suspend ProxyRoute.(T) -> Unit,
+    ) = config.post("$PATH/$name") { context ->
+        val body = context.body().ifEmpty { "{}" }
+        change(context) { action(Calls.json.decodeFromString(serializer, body)) }
+    }
+
+    private fun change(
+        context: Context,
+        action: suspend ProxyRoute.() -> Unit,
+    ) {
+        val name = context.pathParam("route")
+        calls.answer(context) {
+            val route = routes[name] ?: throw StandInFailure.notFound("no route $name")
+            route.action()
+            Calls.json.encodeToString(RouteStatus.serializer(), route.status())
+        }
+    }
+
+    private companion object {
+        const val PATH = "/admin/routes/{route}"
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/fault/FaultProxySpec.kt
@@ -0,0 +1,158 @@
+package io.knapweedferry.testing.fault
+
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.net.ConnectException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.concurrent.thread
+import kotlin.time.TimeSource
+
+/** Guards against a proxy that corrupts healthy traffic or whose faults do less than they say. */
+internal class FaultProxySpec {
+    private val loopback = InetAddress.getLoopbackAddress()
+    private val echo = ServerSocket(0, 50, loopback)
+    private val proxy =
+        FaultProxy(
+            listOf(RouteSettings.parse("echo=127.0.0.1:0=127.0.0.1:${echo.localPort}")),
+            adminHost = "127.0.0.1",
+            adminPort = 0,
+            seed = 7,
+        )
+    private val http = OkHttpClient()
+
+    init {
+        thread(isDaemon = true) { serveEcho() }
+        runBlocking { proxy.start() }
+    }
+
+    @AfterEach
+    fun close() {
+        proxy.close()
+        echo.close()
+        http.dispatcher.executorService.shutdown()
+        http.connectionPool.evictAll()
+    }
+
+    @Test
+    fun `forwards all bytes unchanged, and the end of the stream`() {
+        val sent = ByteArray(1_000_000) { (it * 31).toByte() }
+        connect().use { socket ->
+            val writer =
+                thread {
+                    socket.getOutputStream().write(sent)
+                    socket.shutdownOutput()
+                }
+            assertTrue(sent.contentEquals(socket.getInputStream().readBytes()))
+            writer.join()
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource("BOTH, 1", "TO_TARGET, 1", "TO_CLIENT, 1")
+    fun `an open connection goes silent for good while new ones work`(
+        direction: String,
+        silent: Int,
+    ) {
+        val old = connect()
+        assertEquals('a', echo(old, 'a'))
+        assertEquals(silent, order("silence", """{"direction":"$direction"}""").silentConnections)
+        assertThrows(SocketTimeoutException::class.java) { echo(old, 'b') }
+        order("heal")
+        assertThrows(SocketTimeoutException::class.java) { echo(old, 'c') }
+        connect().use { assertEquals('d', echo(it, 'd')) }
+        old.close()
+    }
+
+    @Test
+    fun `new connections are silent until the route is healed`() {
+        order("silence", """{"existing":false,"new":true}""")
+        connect().use { socket -> assertThrows(SocketTimeoutException::class.java) { echo(socket, 'a') } }
+        order("heal")
+        connect().use { assertEquals('b', echo(it, 'b')) }
+    }
+
+    @Test
+    fun `a fraction silences some of the open connections`() {
+        val sockets = List(40) { connect().also { socket -> echo(socket, 'a') } }
+        val silent = order("silence", """{"fraction":0.5}""").silentConnections
+        assertTrue(silent in 10..30, "$silent of 40")
+        sockets.forEach(Socket::close)
+    }
+
+    @Test
+    fun `a cut ends open connections and refuses new ones until healed`() {
+        val old = connect()
+        echo(old, 'a')
+        order("cut")
+        assertTrue(runCatching { echo(old, 'b') }.exceptionOrNull() !is SocketTimeoutException)
+        assertThrows(ConnectException::class.java) { connect() }
+        order("heal")
+        connect().use { assertEquals('c', echo(it, 'c')) }
+    }
+
+    @Test
+    fun `a delay holds bytes back in each direction`() {
+        connect().use { socket ->
+            echo(socket, 'a')
+            order("delay", """{"ms":100,"jitterMs":20}""")
+            val start = TimeSource.Monotonic.markNow()
+            assertEquals('b', echo(socket, 'b'))
+            assertTrue(start.elapsedNow().inWholeMilliseconds >= 200)
+        }
+    }
+
+    private fun connect() = Socket(loopback, proxy.port("echo")).apply { soTimeout = 400 }
+
+    private fun echo(
+        socket: Socket,
+        char: Char,
+    ): Char {
+        socket.getOutputStream().write(char.code)
+        return socket
+            .getInputStream()
+            .read()
+            .also { check(it >= 0) { "connection ended" } }
+            .toChar()
+    }
+
+    private fun order(
+        name: String,
+        body: String = "",
+    ): RouteStatus {
+        val url = "http://127.0.0.1:${proxy.adminPort}/admin/routes/echo/$name"
+        return http
+            .newCall(
+                Request
+                    .Builder()
+                    .url(url)
+                    .post(body.toRequestBody())
+                    .build(),
+            ).execute()
+            .use {
+                check(it.isSuccessful) { "status ${it.code}" }
+                Json.decodeFromString(it.body.string())
+            }
+    }
+
+    private fun serveEcho() {
+        while (!echo.isClosed) {
+            val socket = runCatching { echo.accept() }.getOrNull() ?: return
+            thread(isDaemon = true) {
+                socket.use { runCatching { it.getInputStream().copyTo(it.getOutputStream()) } }
+            }
+        }
+    }
+}
