Leave silent connections after one timeout and refuse prompts beyond the engine's memory

Idle connections on the same broken path would each cost one timeout, so a timeout empties the pool, now also for streams. Specs cover cancellation on the wire, silent streams and silent pooled connections. All specs pass: mvn -o -q -B verify -pl knapweedferry-testing -am.

--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpGeneration.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpGeneration.kt
@@ -39,18 +39,19 @@
                         .tag(SentMark::class.java, mark)
                         .build(),
                 )
-            call.enqueue(EventCallback(this, mark))
+            call.enqueue(EventCallback(this, mark, client))
             awaitClose { call.cancel() }
         }
 
     private class EventCallback(
         private val events: ProducerScope<EngineEvent>,
         private val mark: SentMark,
+        private val client: OkHttpClient,
     ) : Callback {
         override fun onFailure(
             call: Call,
             e: IOException,
-        ) = end(EngineEvent.Broken(HttpFailures.ofException(e, mark)))
+        ) = end(failed(e))
 
         override fun onResponse(
             call: Call,
@@ -59,7 +60,7 @@
             try {
                 response.use(::read)
             } catch (e: IOException) {
-                EngineEvent.Broken(HttpFailures.ofException(e, mark))
+                failed(e)
             } catch (e: SerializationException) {
                 EngineEvent.Broken(HttpFailures.badAnswer(e))
             },
@@ -95,6 +96,8 @@
                     EngineEvent.Broken(PlatformError.NoAnswer("engine gave up (${line.code}: ${line.message}); resume elsewhere"))
             }
 
+        private fun failed(error: IOException): EngineEvent = EngineEvent.Broken(HttpFailures.ofException(client, error, mark))
+
         private fun end(last: EngineEvent) {
             events.trySendBlocking(last)
             events.close()
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpEndpoint.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpEndpoint.kt
@@ -19,7 +19,6 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
-import java.io.InterruptedIOException
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
 
@@ -84,7 +83,7 @@
                     override fun onFailure(
                         call: Call,
                         e: IOException,
-                    ) = continuation.resume(failed(e, mark).left())
+                    ) = continuation.resume(HttpFailures.ofException(client, e, mark).left())
 
                     override fun onResponse(
                         call: Call,
@@ -108,18 +107,9 @@
                 HttpReply(response.code, contentType, response.body.string()).right()
             }
         } catch (e: IOException) {
-            failed(e, mark).left()
+            HttpFailures.ofException(client, e, mark).left()
         }
 
-    private fun failed(
-        error: IOException,
-        mark: SentMark,
-    ): PlatformError {
-        // A timeout on a kept connection suggests that the path lost its state; its idle siblings would time out as well.
-        if (error is InterruptedIOException) client.connectionPool.evictAll()
-        return HttpFailures.ofException(error, mark)
-    }
-
     companion object {
         private const val MAX_BODY_BYTES = 16L * 1024 * 1024
         private val JSON_TYPE = "application/json".toMediaType()
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpFailures.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpFailures.kt
@@ -2,7 +2,9 @@
 
 import io.knapweedferry.platform.PlatformError
 import kotlinx.serialization.SerializationException
+import okhttp3.OkHttpClient
 import java.io.IOException
+import java.io.InterruptedIOException
 import java.net.HttpURLConnection.HTTP_BAD_REQUEST
 import java.net.HttpURLConnection.HTTP_INTERNAL_ERROR
 import java.net.HttpURLConnection.HTTP_UNAVAILABLE
@@ -13,9 +15,12 @@
 
     /** Maps an exchange without a whole answer. */
     fun ofException(
+        client: OkHttpClient,
         error: IOException,
         mark: SentMark,
     ): PlatformError {
+        // A timeout on a kept connection suggests that the path lost its state; its idle siblings would time out as well.
+        if (error is InterruptedIOException) client.connectionPool.evictAll()
         val text = error.message ?: error.javaClass.simpleName
         if (!mark.sent) return PlatformError.NotSent("no connection ($text); check that the address is right and the other side runs")
         return PlatformError.NoAnswer("no answer after sending ($text); find out whether the request took effect before repeating it")
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/engine/EngineStandIn.kt
@@ -85,6 +85,7 @@
             serve(order.model)
             val id = order.id.value
             val tokens = StandInAnswer.promptTokens(order.prompt)
+            fit(tokens)
             exports.ofRequest(id)?.let { return@call PrefillResult(KvSource(it.handle, url, tokens), tokens - it.computedTokens) }
             if (prefills.has(id)) throw StandInFailure(CONFLICT, "duplicate", "this prefill is in progress")
             val cached =
@@ -104,6 +105,8 @@
         sink: TokenSink,
     ) = call {
         serve(order.model)
+        val answer = StandInAnswer(order.prompt, order.maxOutputTokens)
+        fit(StandInAnswer.promptTokens(order.prompt) + answer.length)
         decoder.generate(order, sink)
     }
 
@@ -184,6 +187,11 @@
         if (loaded.model != model) throw StandInFailure(CONFLICT, "wrong_model", "this engine serves ${loaded.model}")
     }
 
+    private fun fit(tokens: Int) {
+        val capacity = settings.pieces * settings.pieceTokens
+        if (tokens > capacity) throw StandInFailure(TOO_LARGE, "too_long", "$tokens tokens exceed the memory of $capacity tokens")
+    }
+
     private fun unload() {
         decoder.endAll { it.writeFailure("unloaded", "the engine changes its model") }
         prefills.ids.forEach { id ->
@@ -200,5 +208,6 @@
 
     private companion object {
         const val CONFLICT = 409
+        const val TOO_LARGE = 413
     }
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/log/RecordStream.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/log/RecordStream.kt
@@ -21,6 +21,7 @@
         synchronized(lock) {
             val first = next.value
             val atMs = nowMs()
+            expire(atMs)
             payloads.forEachIndexed { index, payload -> records += LogRecord(first + index, atMs, payload) }
             next.value = first + payloads.size
             first
@@ -41,10 +42,14 @@
     ): LogPage =
         synchronized(lock) {
             val now = nowMs()
-            while (records.isNotEmpty() && records.first().atMs < now - retentionMs) records.removeFirst()
+            expire(now)
             val firstOffset = records.firstOrNull()?.offset ?: next.value
             val skip = (fromOffset - firstOffset).coerceIn(0L, records.size.toLong()).toInt()
             val count = maxRecords.coerceIn(0, records.size - skip)
             LogPage(firstOffset, next.value, now, records.subList(skip, skip + count).toList())
         }
+
+    private fun expire(now: Long) {
+        while (records.isNotEmpty() && records.first().atMs < now - retentionMs) records.removeFirst()
+    }
 }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceFaults.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/standin/service/ServiceFaults.kt
@@ -8,7 +8,7 @@
 internal data class ServiceFaults(
     /** Fault before the operation has its effect. */
     val outage: Outage = Outage.NONE,
-    /** Fault after the operation had its effect. */
+    /** Fault after the operation had its effect; [Outage.REFUSE] here is a service that lies about it. */
     val outageAfterEffect: Outage = Outage.NONE,
     /** Added to the duration of each operation. */
     val delayMs: Long = 0,
--- a/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/HttpAppendLogSpec.kt
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/HttpAppendLogSpec.kt
@@ -4,7 +4,10 @@
 import io.knapweedferry.api.StreamName
 import io.knapweedferry.platform.PlatformError
 import io.knapweedferry.platform.log.HttpAppendLog
+import io.knapweedferry.testing.fault.FaultProxy
+import io.knapweedferry.testing.fault.RouteSettings
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -14,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import java.net.ServerSocket
+import java.net.URI
 import kotlin.time.TimeSource
 
 /** Guards against an append that took effect being reported as not sent, and against hidden repetitions of an append. */
@@ -84,6 +88,20 @@
             assertTrue(start.elapsedNow().inWholeMilliseconds < LONG_POLL_MS)
         }
 
+    @Test
+    fun `one timeout on a silent connection is enough to leave all open ones`() =
+        runBlocking<Unit> {
+            val port = URI(fixture.url("log")).port
+            FaultProxy(listOf(RouteSettings.parse("log=127.0.0.1:0=127.0.0.1:$port")), "127.0.0.1", 0, 1).use { proxy ->
+                proxy.start()
+                val proxied = HttpAppendLog(fixture.transport, "http://127.0.0.1:${proxy.port("log")}", timeoutMs = 300)
+                List(4) { async { proxied.read(stream, 0, waitMs = 100) } }.awaitAll()
+                fixture.post("http://127.0.0.1:${proxy.adminPort}/admin/routes/log/silence")
+                assertInstanceOf(PlatformError.NoAnswer::class.java, proxied.append(stream, listOf("a")).leftOrNull())
+                assertEquals(Either.Right(0L), proxied.append(stream, listOf("b")))
+            }
+        }
+
     private companion object {
         const val LONG_POLL_MS = 10_000L
     }
--- a/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/HttpEngineSpec.kt
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/HttpEngineSpec.kt
@@ -8,6 +8,8 @@
 import io.knapweedferry.platform.engine.GenerateOrder
 import io.knapweedferry.platform.engine.HttpEngine
 import io.knapweedferry.platform.engine.PrefillOrder
+import io.knapweedferry.platform.http.HttpTransport
+import io.knapweedferry.platform.http.HttpTransportSettings
 import io.knapweedferry.testing.standin.StandInAnswer
 import io.knapweedferry.testing.standin.engine.EngineLedger
 import kotlinx.coroutines.async
@@ -139,6 +141,24 @@
             assertEquals(emptyList<EngineRequestId>(), decode.held().getOrNull())
         }
 
+    @Test
+    fun `a stream that falls silent ends as unanswered`() =
+        runBlocking<Unit> {
+            fixture.faults("decode", """{"decodeStalled":true}""")
+            HttpTransport(HttpTransportSettings(streamIdleTimeoutMs = 200)).use { transport ->
+                val engine = HttpEngine(transport, fixture.url("decode"))
+                val last = engine.generate(generateOrder("d")).toList().single() as EngineEvent.Broken
+                assertInstanceOf(PlatformError.NoAnswer::class.java, last.error)
+            }
+        }
+
+    @Test
+    fun `a prompt beyond the memory of the engine is rejected`() =
+        runBlocking<Unit> {
+            val error = prefill.prefill(prefillOrder("p").copy(prompt = "x".repeat(1_000_000))).leftOrNull()
+            assertEquals(413, (error as PlatformError.Rejected).status)
+        }
+
     @Test
     fun `a stale order and a wrong model are rejected`() =
         runBlocking<Unit> {
--- a/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/HttpServiceSpec.kt
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/HttpServiceSpec.kt
@@ -6,11 +6,11 @@
 import io.knapweedferry.platform.service.HttpService
 import io.knapweedferry.platform.service.ServiceOrder
 import io.knapweedferry.testing.standin.service.ServiceLedger
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.yield
+import kotlinx.coroutines.withContext
 import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against a second execution of an operation that must not repeat, and against a false "not sent". */
@@ -71,13 +73,20 @@
         }
 
     @Test
-    fun `cancelling the coroutine ends the call at once`() =
+    fun `cancelling the coroutine closes the connection`() =
         runBlocking<Unit> {
-            fixture.faults("clerk", """{"outage":"SILENT"}""")
-            val call = async { service.call(order(timeoutMs = 60_000)) }
-            yield()
-            withTimeout(5_000) { call.cancelAndJoin() }
-            assertTrue(call.isCancelled)
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                val silent = HttpService(fixture.transport, "http://127.0.0.1:${server.localPort}")
+                val call = async { silent.call(order(timeoutMs = 60_000)) }
+                val connection = withContext(Dispatchers.IO) { server.accept().apply { soTimeout = 5_000 } }
+                connection.use {
+                    withContext(Dispatchers.IO) { it.getInputStream().read() }
+                    call.cancelAndJoin()
+                    // Reads to the end of the stream, or times out.
+                    withContext(Dispatchers.IO) { it.getInputStream().readBytes() }
+                }
+                assertTrue(call.isCancelled)
+            }
         }
 
     @Test
