--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/placement/EndpointSubset.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/placement/EndpointSubset.kt
@@ -19,7 +19,11 @@
     /** Returns at most [size] of [endpoints], spanning their availability zones as far as [size] allows. */
     public fun select(endpoints: Map<EndpointId, AvailabilityZone>): Set<EndpointId> {
         if (endpoints.size <= size) return endpoints.keys.toSet()
-        val ordered = endpoints.keys.sortedBy { StableHash.of(entry.value, it.value) }
+        val ordered =
+            endpoints.keys
+                .associateBy { StableHash.of(entry.value, it.value) }
+                .toSortedMap()
+                .values
         val byZone = ordered.groupBy { endpoints.getValue(it) }.values
         // One of every availability zone comes before a second of any, for the case that the subset is small.
         val guaranteed = (0 until perZone).flatMap { round -> byZone.mapNotNull { it.getOrNull(round) } }.take(size)
--- /dev/null
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/prefix/PrefixIndexSpec.kt
@@ -0,0 +1,48 @@
+package io.knapweedferry.policy.prefix
+
+import io.knapweedferry.api.EndpointId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Test
+
+/** Guards against hints that outlive evictions, gaps in the events or their age, and against unbounded memory. */
+internal class PrefixIndexSpec {
+    private val a = EndpointId("a")
+    private val prompt = PrefixHashes.of("m", "x".repeat(40) + "y".repeat(15), blockChars = 10)
+
+    @Test
+    fun `prompts with a common start share the hashes of that start`() {
+        val other = PrefixHashes.of("m", "x".repeat(40) + "z".repeat(10), blockChars = 10)
+        assertEquals(prompt.take(4), other.take(4))
+        assertNotEquals(prompt[4], other[4])
+        assertNotEquals(prompt[0], PrefixHashes.of("other", "x".repeat(40), blockChars = 10)[0])
+        assertEquals(5, prompt.toSet().size)
+    }
+
+    @Test
+    fun `own prefills and events give hints until they are evicted, aged or doubtful`() {
+        val index = PrefixIndex(maxPrefixes = 8, maxAgeMs = 1_000)
+        assertEquals(0, index.cachedBlocks(a, prompt, 0))
+        index.recordPrefill(a, prompt, 0)
+        assertEquals(listOf(5, 5, 0), listOf(0L, 999L, 1_000L).map { index.cachedBlocks(a, prompt, it) })
+        index.applyEvent(a, 1, prompt[4], cached = false, 1)
+        assertEquals(4, index.cachedBlocks(a, prompt, 1))
+        index.applyEvent(a, 2, prompt[4], cached = true, 600)
+        assertEquals(false, index.applyEvent(a, 1, prompt[4], cached = false, 600), "a late event must not undo a newer one")
+        assertEquals(5, index.cachedBlocks(a, prompt, 600))
+        index.applyEvent(a, 9, "other", cached = true, 700)
+        assertEquals(5, index.cachedBlocks(a, prompt, 700), "confirmed shortly before the gap")
+        index.applyEvent(a, 20, "other", cached = true, 900)
+        assertEquals(0, index.cachedBlocks(a, prompt, 900))
+    }
+
+    @Test
+    fun `short prefixes are forgotten last`() {
+        val index = PrefixIndex(maxPrefixes = 6)
+        index.recordPrefill(a, prompt, 0)
+        index.recordPrefill(a, listOf("p", "q", "r"), 1)
+        assertEquals(3, index.cachedBlocks(a, prompt, 1))
+        index.retain(emptySet())
+        assertEquals(0, index.cachedBlocks(a, prompt, 1))
+    }
+}
