--- /dev/null
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/claim/ClaimInterleavingSpec.kt
@@ -0,0 +1,206 @@
+package io.knapweedferry.policy.claim
+
+import io.knapweedferry.api.ClaimId
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.Incarnation
+import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.RequestId
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.UUID
+import kotlin.random.Random
+
+/**
+ * Guards against two dispatches of work that must not repeat. Runs seeded interleavings of claimers that share two index
+ * holders, with lost and delayed appends, voids, retention, restarts of holders and sidecars, and clocks that differ.
+ */
+internal class ClaimInterleavingSpec {
+    @Test
+    fun `no interleaving dispatches a key twice`() {
+        val totals = IntArray(3)
+        for (seed in 0 until SEEDS) {
+            val world = World(Random(seed))
+            repeat(STEPS) { world.step() }
+            for ((key, count) in world.dispatches) assertTrue(count <= 1, "seed $seed: $key was dispatched $count times")
+            totals[0] += world.keys.size
+            totals[1] += world.dispatches.size
+            totals[2] += world.voids
+        }
+        println("$SEEDS interleavings: ${totals[0]} keys, ${totals[1]} dispatched once, ${totals[2]} voids")
+        assertTrue(totals[1] > totals[0] / 3 && totals[2] > SEEDS, "the interleavings must reach dispatches and voids")
+    }
+
+    private class Stored(
+        val atMs: Long,
+        val record: ClaimRecord,
+    )
+
+    private class Sidecar(
+        val endpoint: EndpointId,
+    ) {
+        var incarnation = Incarnation("")
+        val refused = HashSet<ClaimId>()
+        val dispatched = HashSet<ClaimId>()
+    }
+
+    private class Claimer(
+        val key: ClaimKey,
+        val holder: Int,
+    ) {
+        var claim: ClaimRecord.Claim? = null
+        var entitled = false
+        var sent = false
+    }
+
+    private class World(
+        private val random: Random,
+    ) {
+        val keys = mutableListOf<ClaimKey>()
+        val dispatches = HashMap<ClaimKey, Int>()
+        var voids = 0
+        private val log = mutableListOf<Stored>()
+        private val delayed = mutableListOf<ClaimRecord>()
+        private val claimers = mutableListOf<Claimer>()
+        private val holders = MutableList(2) { index() }
+        private val sidecars = List(2) { Sidecar(EndpointId("e$it")) }.onEach { restart(it) }
+        private var firstOffset = 0
+        private var nowMs = 1_000_000L
+        private var ids = 0
+
+        fun step() {
+            nowMs += random.nextLong(20)
+            when (random.nextInt(40)) {
+                0 -> restart(sidecars.random(random))
+                1 -> holders[random.nextInt(2)] = index()
+                2 -> firstOffset = random.nextInt(firstOffset, log.size + 1)
+                3 -> nowMs += random.nextLong(HORIZON_MS / 2)
+                in 4..7 -> addClaimer()
+                in 8..11 -> if (delayed.isNotEmpty()) store(delayed.removeAt(random.nextInt(delayed.size)))
+                else -> claimers.randomOrNull(random)?.let { act(it) }
+            }
+        }
+
+        private fun index() = ClaimIndex(HORIZON_MS, SKEW_MS, maxKeys = random.nextInt(1, 6))
+
+        private fun restart(sidecar: Sidecar) {
+            sidecar.incarnation = Incarnation("i${ids++}")
+            sidecar.refused.clear()
+            sidecar.dispatched.clear()
+        }
+
+        private fun addClaimer() {
+            if (keys.isEmpty() || random.nextInt(4) == 0) {
+                val madeAtMs = nowMs + random.nextLong(-SKEW_MS, 6 * SKEW_MS)
+                keys += ClaimKey(UUID((madeAtMs shl 16) or 0x7000, Long.MIN_VALUE or keys.size.toLong()))
+            }
+            claimers += Claimer(keys.random(random), random.nextInt(2))
+        }
+
+        private fun act(claimer: Claimer) {
+            val claim = claimer.claim
+            val goesOn =
+                when {
+                    claim == null -> begin(claimer)
+                    claimer.entitled -> dispatch(claimer, claim)
+                    else -> resolve(claimer, claim)
+                }
+            if (!goesOn) claimers -= claimer
+        }
+
+        private fun begin(claimer: Claimer): Boolean {
+            val index = holders[claimer.holder]
+            read(index, random.nextInt(log.size + 1))
+            when (val answer = index.answer(claimer.key)) {
+                is ClaimAnswer.NotCovered -> return false
+                is ClaimAnswer.Claimed -> return askSidecar(answer.claim)
+                is ClaimAnswer.Unclaimed -> Unit
+            }
+            val sidecar = sidecars.random(random)
+            val id = ClaimId("c${ids++}")
+            val claim = ClaimRecord.Claim(id, claimer.key.key, sidecar.endpoint, sidecar.incarnation, 1, RequestId("r"))
+            claimer.claim = claim
+            append(claim)
+            return true
+        }
+
+        private fun resolve(
+            claimer: Claimer,
+            claim: ClaimRecord.Claim,
+        ): Boolean {
+            val index = holders[claimer.holder]
+            read(index, log.size)
+            when (index.standing(claimer.key, claim.claimId)) {
+                ClaimStanding.WON -> claimer.entitled = true
+                ClaimStanding.NOT_SEEN -> if (random.nextBoolean()) append(claim) else return false
+                ClaimStanding.LOST, ClaimStanding.VOIDED -> claimer.claim = null
+                ClaimStanding.NOT_COVERED -> return false
+            }
+            return true
+        }
+
+        /** Sends the dispatch, or dies before it does; in the latter case a void may follow. */
+        private fun dispatch(
+            claimer: Claimer,
+            claim: ClaimRecord.Claim,
+        ): Boolean {
+            if (random.nextInt(4) == 0) {
+                // Only a claimer that never sent the dispatch may void the claim itself.
+                if (!claimer.sent && random.nextBoolean()) appendVoid(claim)
+                return false
+            }
+            claimer.sent = true
+            val sidecar = sidecars.first { it.endpoint == claim.endpoint }
+            val known = claim.claimId in sidecar.refused || claim.claimId in sidecar.dispatched
+            if (sidecar.incarnation != claim.incarnation || known) return false
+            sidecar.dispatched += claim.claimId
+            dispatches.merge(claimer.key, 1, Int::plus)
+            return random.nextBoolean()
+        }
+
+        private fun askSidecar(claim: ClaimRecord.Claim): Boolean {
+            val sidecar = sidecars.first { it.endpoint == claim.endpoint }
+            if (sidecar.incarnation != claim.incarnation || claim.claimId in sidecar.dispatched) return false
+            sidecar.refused += claim.claimId
+            appendVoid(claim)
+            return true
+        }
+
+        private fun appendVoid(claim: ClaimRecord.Claim) {
+            voids++
+            append(ClaimRecord.Void(claim.claimId, claim.key, ProcessId("p")))
+        }
+
+        /** Takes effect now, later, or never; the appender learns which only from the log. */
+        private fun append(record: ClaimRecord) {
+            when (random.nextInt(6)) {
+                0 -> delayed += record
+                1 -> Unit
+                else -> store(record)
+            }
+        }
+
+        private fun store(record: ClaimRecord) {
+            log += Stored(nowMs - random.nextLong(SKEW_MS), record)
+        }
+
+        private fun read(
+            index: ClaimIndex,
+            end: Int,
+        ) {
+            for (offset in maxOf(
+                index.nextOffset.toInt(),
+                firstOffset,
+            ) until end) {
+                index.apply(offset.toLong(), log[offset].atMs, log[offset].record)
+            }
+            if (firstOffset == log.size) index.skipTo(firstOffset.toLong(), nowMs)
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 5_000
+        const val STEPS = 300
+        const val HORIZON_MS = 2_000L
+        const val SKEW_MS = 50L
+    }
+}
