--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/load/LoadScenario.kt
@@ -0,0 +1,58 @@
+package io.knapweedferry.testing.load
+
+import com.akuleshov7.ktoml.Toml
+import io.knapweedferry.api.Rank
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.serializer
+
+/** A load to offer, read from TOML. */
+@Serializable
+public data class LoadScenario(
+    val name: String = "load",
+    val seed: Long = 1,
+    @SerialName("duration_ms")
+    val durationMs: Long,
+    /** Base URLs of entries; requests are spread over them at random. */
+    val entries: List<String>,
+    /** Time after which a request is given up and counted as failed. */
+    @SerialName("request_timeout_ms")
+    val requestTimeoutMs: Long = DEFAULT_REQUEST_TIMEOUT_MS,
+    /** Requests that the driver keeps open at most; more wait in the driver, and their wait counts as latency. */
+    @SerialName("max_in_flight")
+    val maxInFlight: Int = DEFAULT_MAX_IN_FLIGHT,
+    val work: List<LoadWork>,
+    val organisations: List<LoadOrganisation>,
+    val targets: List<LoadTarget>,
+    val floods: List<LoadFlood> = emptyList(),
+    val capacity: LoadCapacity = LoadCapacity(),
+) {
+    init {
+        val ranks = targets.map { it.rank }
+        require(entries.isNotEmpty()) { "name at least one entry URL in entries" }
+        require(organisations.isNotEmpty()) { "name at least one organisation" }
+        require(ranks.all { it in RANKS }) { "use one of the ranks $RANKS in targets" }
+        work.forEach { require(it.rank in ranks) { "add targets for rank ${it.rank} of work ${it.name}" } }
+        work.forEach { require(it.model != null || it.service != null) { "name a model or a service for work ${it.name}" } }
+        work.forEach { require(it.isChat || it.operation != null) { "name an operation for work ${it.name}" } }
+        floods.forEach { flood -> require(work.any { it.name == flood.work }) { "flood of unknown work ${flood.work}" } }
+    }
+
+    /** Targets of [rank]. */
+    public fun target(rank: String): LoadTarget = targets.first { it.rank == rank }
+
+    /** Whether any flood lasts at [atMs] after the start of the run. */
+    public fun isFlooded(atMs: Long): Boolean = floods.any { it.covers(atMs) }
+
+    public companion object {
+        /** Ranks as scenarios write them, most urgent first. */
+        public val RANKS: List<String> = Rank.entries.map { it.name.lowercase() }
+        private const val DEFAULT_REQUEST_TIMEOUT_MS = 30_000L
+
+        /** Each open request takes a thread of the HTTP client. */
+        private const val DEFAULT_MAX_IN_FLIGHT = 300
+
+        /** Reads a scenario. */
+        public fun parse(toml: String): LoadScenario = Toml.decodeFromString(serializer(), toml)
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/load/RequestResult.kt
@@ -0,0 +1,20 @@
+package io.knapweedferry.testing.load
+
+/** Result of one request. Times count from the planned arrival, so that a wait inside the driver is not hidden. */
+public data class RequestResult(
+    val request: PlannedRequest,
+    val kind: ResultKind,
+    /** Code of the refusal or failure; empty for completed requests. */
+    val reason: String = "",
+    val firstTokenMs: Double = 0.0,
+    val endMs: Double = 0.0,
+    val tokens: Int = 0,
+    val gapsMs: List<Double> = emptyList(),
+) {
+    /** Mean time between the tokens of this answer. */
+    val meanInterTokenMs: Double get() = if (tokens <= 1) 0.0 else (endMs - firstTokenMs) / (tokens - 1)
+
+    /** Whether the answer is whole and inside both targets. */
+    public fun meets(target: LoadTarget): Boolean =
+        kind == ResultKind.COMPLETED && firstTokenMs <= target.firstTokenMs && meanInterTokenMs <= target.interTokenMs
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/load/TokenDistribution.kt
@@ -0,0 +1,22 @@
+package io.knapweedferry.testing.load
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import java.util.Random
+import kotlin.math.exp
+import kotlin.math.roundToInt
+
+/** Log-normal distribution of a number of tokens, cut off at both ends. */
+@Serializable
+public data class TokenDistribution(
+    val median: Int,
+    /** Standard deviation of the logarithm; 0 makes every draw the median. */
+    val sigma: Double = 0.0,
+    @SerialName("min")
+    val smallest: Int = 1,
+    @SerialName("max")
+    val largest: Int = Int.MAX_VALUE,
+) {
+    /** Draws a number of tokens. */
+    public fun draw(random: Random): Int = (median * exp(sigma * random.nextGaussian())).roundToInt().coerceIn(smallest, largest)
+}
