--- /dev/null
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
@@ -0,0 +1,89 @@
+package io.knapweedferry.it
+
+import io.knapweedferry.testing.deploy.Deployments
+import io.knapweedferry.testing.deploy.LocalDeployment
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.TestInstance
+import org.junit.jupiter.api.TestInstance.Lifecycle
+import org.junit.jupiter.api.io.TempDir
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.nio.file.Path
+
+/** Guards against a break anywhere on the path of a request, and against bad input that is accepted or holds something. */
+@TestInstance(Lifecycle.PER_CLASS)
+internal class WholePathSpec {
+    @TempDir
+    lateinit var folder: Path
+
+    private lateinit var deployment: LocalDeployment
+    private val caller = Caller()
+
+    @BeforeAll
+    fun start() {
+        deployment = LocalDeployment(Deployments.small(), folder, Daemons.classPath)
+        deployment.start()
+    }
+
+    @AfterAll
+    fun stop() {
+        deployment.close()
+    }
+
+    @ParameterizedTest(name = "{0} with stream {1} through entry {2}")
+    @CsvSource("fleet-inspection,false,0", "fleet-inspection,true,1", "loaner-note,true,0")
+    fun `a model request is answered whole`(
+        work: String,
+        stream: Boolean,
+        entry: Int,
+    ) {
+        val reply = caller.post(url(entry, "/v1/chat/completions"), Caller.chat(work, "history", 9, stream))
+        assertEquals(200, reply.status, reply.body)
+        if (stream) {
+            assertEquals("data: [DONE]", reply.body.trim().lines().last())
+            assertEquals(9, reply.body.lines().count { it.startsWith("id: ") })
+        } else {
+            assertEquals(true, reply.body.contains("\"completion_tokens\":9"), reply.body)
+        }
+    }
+
+    @ParameterizedTest(name = "{0} gives {1} {2}")
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "{                                                                          | 400 | malformed_request",
+            "{\"messages\":[]}                                                          | 400 | malformed_request",
+            "{\"model\":\"none\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}   | 404 | unknown_model",
+            "{\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"metadata\":{\"work\":\"none\"}} | 400 | unknown_work",
+            "{\"model\":\"harbor-review\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"metadata\":{\"rank\":\"top\"}} | 400 | unknown_rank",
+            "{\"model\":\"harbor-review\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"max_tokens\":1000000} | 413 | prompt_too_long",
+        ],
+    )
+    fun `bad input is a typed refusal`(
+        body: String,
+        status: Int,
+        code: String,
+    ) {
+        val reply = caller.post(url(0, "/v1/chat/completions"), body)
+        assertEquals(status, reply.status, reply.body)
+        assertEquals(true, reply.body.contains("\"title\":\"$code\""), reply.body)
+        assertEquals(true, reply.body.contains("\"outcome\":\"not_run\""), reply.body)
+    }
+
+    @ParameterizedTest(name = "key {0} gives {1}")
+    @CsvSource("wrong-key,401", "'',401")
+    fun `an unknown API key is refused`(
+        key: String,
+        status: Int,
+    ) {
+        val reply = Caller(key).post(url(0, "/v1/chat/completions"), Caller.chat("loaner-note", "x", 1))
+        assertEquals(status, reply.status)
+    }
+
+    private fun url(
+        entry: Int,
+        path: String,
+    ): String = deployment.entryUrl(entry) + path
+}
--- a/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/FrameCodecSpec.kt
+++ b/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/FrameCodecSpec.kt
@@ -19,6 +19,7 @@
 import io.knapweedferry.api.RequestId
 import io.knapweedferry.api.Revision
 import io.knapweedferry.api.ServiceName
+import io.knapweedferry.api.StreamName
 import io.knapweedferry.api.message.Acknowledged
 import io.knapweedferry.api.message.AnswerEnd
 import io.knapweedferry.api.message.Attach
@@ -57,7 +58,7 @@
     private val lease = LeaseId("l")
     private val load = LoadDigest(endpoint, 1, -2, 3, 4, 5, 6, Int.MAX_VALUE)
     private val source = KvSource(KvHandle("h"), "http://127.0.0.1:1", 7)
-    private val claim = ClaimRef(ClaimId("c"), IdempotencyKey("k"), Long.MAX_VALUE, Incarnation("i"))
+    private val claim = ClaimRef(ClaimId("c"), IdempotencyKey("k"), Long.MAX_VALUE, Incarnation("i"), StreamName("claims-0"))
     private val answer = ServiceAnswer(request, 1, 200, "text/plain", "body\u0000", 0xffffffffL, load)
 
     private val messages: List<Message> =
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/DeploymentLayout.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/DeploymentLayout.kt
@@ -21,7 +21,6 @@
 /** Ports, instances and assignments of a deployment. */
 internal class DeploymentLayout(
     private val plan: DeploymentPlan,
-    private val listedAddress: (String, String) -> String,
 ) {
     val endpointNames: List<String> = plan.engines.map { it.name } + plan.services.map { it.name }
     private val ports = freePorts(plan.entries + endpointNames.size)
@@ -36,13 +35,14 @@
 
     fun fleet(): ConfigState = plan.policies.copy(endpoints = engineAssignments() + serviceAssignments())
 
-    fun standInSettings() =
+    /** [listedAddress] gives the address that the instance list shows for the sidecar of an endpoint. */
+    fun standInSettings(listedAddress: (String) -> String) =
         StandInsSettings(
             seed = plan.seed,
             timeScale = plan.timeScale,
             log = LogSettings(port = 0, appendsPerSecond = plan.logAppendsPerSecond, retentionMs = plan.logRetentionMs),
             instanceList = InstanceListSettings(port = 0, lagMs = plan.instanceListLagMs),
-            instances = endpointNames.map(::instance),
+            instances = endpointNames.map { instance(it, listedAddress(it)) },
             weightStore = WeightStoreSettings(port = 0),
             weights = plan.policies.models.map { (name, policy) -> WeightSettings(name.value, policy.version, WEIGHT_BYTES) },
             links = plan.availabilityZones.map { LinkSettings(it, plan.linkBytesPerSecond) },
@@ -66,12 +66,15 @@
             checksFencing = engine.checksFencing,
         )
 
-    private fun instance(endpoint: String): InstanceSettings {
+    private fun instance(
+        endpoint: String,
+        sessionAddress: String,
+    ): InstanceSettings {
         val isEngine = plan.engines.any { it.name == endpoint }
         return InstanceSettings(
             instance = "instance-$endpoint",
             availabilityZone = zoneOf(endpoint),
-            sessionAddress = listedAddress(endpoint, sidecarAddress(endpoint)),
+            sessionAddress = sessionAddress,
             engines = if (isEngine) listOf(endpoint) else emptyList(),
             services = if (isEngine) emptyList() else listOf(endpoint),
         )
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
@@ -7,6 +7,8 @@
 import io.knapweedferry.config.report.StepStatus
 import io.knapweedferry.testing.standin.StandIns
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -24,16 +26,17 @@
     public val plan: DeploymentPlan,
     private val folder: Path,
     classPath: String = System.getProperty("java.class.path"),
-    /** Address that the instance list shows for a sidecar, for example that of a fault proxy before it. */
-    listedAddress: (name: String, address: String) -> String = { _, address -> address },
+    /** True to put a fault proxy before each sidecar; the instance list then shows the proxy's address. */
+    proxied: Boolean = false,
 ) : AutoCloseable {
-    private val layout = DeploymentLayout(plan, listedAddress)
+    private val layout = DeploymentLayout(plan)
+    private val proxies = if (proxied) SidecarProxies(layout, plan.seed) else null
     private val files = DeploymentFiles(plan, layout, folder)
     private val http = OkHttpClient.Builder().readTimeout(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS).build()
     private val daemon = DaemonCommandLine(classPath)
 
     /** The platform. */
-    public val standIns: StandIns = StandIns(layout.standInSettings())
+    public val standIns: StandIns = StandIns(layout.standInSettings(proxies?.let { it::address } ?: layout::sidecarAddress))
 
     /** Entries by index. */
     public val entries: List<ManagedProcess> =
@@ -106,6 +109,37 @@
             null
         }
 
+    /** Orders a fault (`cut`, `delay`, `silence` or `heal`) on the way to the sidecar of [endpoint]. */
+    public fun linkFault(
+        endpoint: String,
+        fault: String,
+        body: String = "{}",
+    ) {
+        post("${checkNotNull(proxies) { "the deployment has no proxies" }.adminUrl}/admin/routes/$endpoint/$fault", body)
+    }
+
+    /** Replaces the faults of a stand-in: `log`, `instance_list`, `weight_store`, or an engine or service. */
+    public fun standInFaults(
+        name: String,
+        body: String,
+    ) {
+        post("${standIns.url(name)}/admin/faults", body)
+    }
+
+    /** What a stand-in did so far. */
+    public fun ledger(name: String): JsonObject {
+        val request = Request.Builder().url("${standIns.url(name)}/admin/ledger").build()
+        return http.newCall(request).execute().use { Json.parseToJsonElement(it.body.string()).jsonObject }
+    }
+
+    private fun post(
+        url: String,
+        body: String,
+    ) {
+        val request = Request.Builder().url(url).post(body.toRequestBody("application/json".toMediaType())).build()
+        http.newCall(request).execute().use { check(it.isSuccessful) { "$url gave ${it.code}: ${it.body.string()}" } }
+    }
+
     /** One call of the operator interface: a GET without [body], else a POST. */
     public fun operate(
         index: Int,
@@ -130,6 +164,7 @@
         all.filter { it.isAlive }.forEach { it.thaw() }
         all.forEach { it.kill() }
         standIns.close()
+        proxies?.close()
         http.dispatcher.executorService.shutdown()
         http.connectionPool.evictAll()
     }
