--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -4,6 +4,10 @@
 import io.knapweedferry.testing.command.StandInsCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import kotlin.system.exitProcess
+
+/** Exit code for settings or options that are not understood. */
+private const val EXIT_USAGE = 2
 
 /** Entry point of `knapweedferry-testbed`; one subcommand per tool. */
 @OptIn(ExperimentalCli::class)
@@ -12,5 +16,10 @@
     System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
     val parser = ArgParser("knapweedferry-testbed")
     parser.subcommands(StandInsCommand(), ProxyCommand())
-    parser.parse(arguments)
+    try {
+        parser.parse(arguments)
+    } catch (e: IllegalArgumentException) {
+        System.err.println(e.message)
+        exitProcess(EXIT_USAGE)
+    }
 }
