--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/ClaimRequest.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/ClaimRequest.kt
@@ -9,6 +9,8 @@
 internal data class ClaimRequest(
     val key: IdempotencyKey,
     val requestId: RequestId,
+    /** Organisation, service and operation; one key serves only one of each. */
+    val scope: String,
     val endpoint: EndpointId,
     val incarnation: Incarnation,
     val attempt: Int,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
@@ -55,12 +55,12 @@
         val partition = partitions[number]
         partition.awaitCaughtUp()
         when (val known = partition.answer(key)) {
-            is ClaimAnswer.Claimed -> return heldBy(known, partition)
+            is ClaimAnswer.Claimed -> return heldBy(known, partition, request.scope)
             ClaimAnswer.NotCovered -> return expired()
             ClaimAnswer.Unclaimed -> Unit
         }
         val id = ClaimId(newIds.generate().toString())
-        val record = ClaimRecord.Claim(id, key.key, request.endpoint, request.incarnation, request.attempt, request.requestId)
+        val record = ClaimRecord.Claim(id, key.key, request.endpoint, request.incarnation, request.attempt, request.requestId, request.scope)
         val error = appenders[number].append(ClaimPartition.encode(record)).leftOrNull()
         if (error != null && ClaimPartition.hadNoEffect(error)) return notClaimed(RefusalReason.LOG_UNAVAILABLE, error.message)
         // Also after a lost response: if the append took effect, the claim shows up in the stream.
@@ -74,7 +74,7 @@
     ): ClaimDecision =
         when (partition.awaitStanding(key, record.claimId)) {
             ClaimStanding.WON -> won(partition, key, record)
-            ClaimStanding.LOST -> lost(partition, key)
+            ClaimStanding.LOST -> lost(partition, key, record.scope)
             ClaimStanding.NOT_COVERED -> expired()
             ClaimStanding.VOIDED, ClaimStanding.NOT_SEEN ->
                 notClaimed(RefusalReason.STALE_INCARNATION, "the claim was voided before it was used")
@@ -86,16 +86,17 @@
         record: ClaimRecord.Claim,
     ): ClaimDecision {
         val standing = partition.answer(key) as? ClaimAnswer.Claimed
-        if (standing?.claim?.claimId != record.claimId) return lost(partition, key)
+        if (standing?.claim?.claimId != record.claimId) return lost(partition, key, record.scope)
         return ClaimDecision.Won(ClaimRef(record.claimId, key.key, standing.offset, record.incarnation, partition.stream))
     }
 
     private fun lost(
         partition: ClaimPartition,
         key: ClaimKey,
+        scope: String,
     ): ClaimDecision {
         val winner = partition.answer(key) as? ClaimAnswer.Claimed
-        return winner?.let { heldBy(it, partition) } ?: notClaimed(RefusalReason.STALE_INCARNATION, "the winning claim was voided")
+        return winner?.let { heldBy(it, partition, scope) } ?: notClaimed(RefusalReason.STALE_INCARNATION, "the winning claim was voided")
     }
 
     override suspend fun abandon(claim: ClaimRef): Boolean {
@@ -123,8 +124,11 @@
     private fun heldBy(
         standing: ClaimAnswer.Claimed,
         partition: ClaimPartition,
+        scope: String,
     ): ClaimDecision {
         val claim = standing.claim
+        // The kept answer belongs to whoever made the key; nobody else may receive it.
+        if (claim.scope != scope) return notClaimed(RefusalReason.KEY_INVALID, "the key was used for another operation")
         val ref = ClaimRef(claim.claimId, claim.key, standing.offset, claim.incarnation, partition.stream)
         return ClaimDecision.HeldBy(ref, claim.endpoint)
     }
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ProblemDetail.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ProblemDetail.kt
@@ -10,6 +10,7 @@
 @Serializable
 internal data class ProblemDetail(
     val type: String,
+    val code: String,
     val title: String,
     val status: Int,
     val detail: String,
@@ -28,7 +29,8 @@
             requestId: RequestId,
         ) = ProblemDetail(
             type = TYPE_PREFIX + refusal.reason.code,
-            title = refusal.reason.code,
+            code = refusal.reason.code,
+            title = refusal.reason.code.replace('_', ' '),
             status = refusal.reason.httpStatus,
             detail = refusal.message,
             requestId = requestId.value,
@@ -53,7 +55,8 @@
             requestId: RequestId,
         ) = ProblemDetail(
             type = TYPE_PREFIX + outcome.reason.code,
-            title = outcome.reason.code,
+            code = outcome.reason.code,
+            title = outcome.reason.code.replace('_', ' '),
             status = STATUS_FAILED,
             detail = "${outcome.detail}; ${outcome.reason.remedy}",
             requestId = requestId.value,
@@ -65,7 +68,8 @@
             requestId: RequestId,
         ) = ProblemDetail(
             type = TYPE_PREFIX + outcome.reason.code,
-            title = outcome.reason.code,
+            code = outcome.reason.code,
+            title = outcome.reason.code.replace('_', ' '),
             status = STATUS_UNKNOWN,
             detail = "${outcome.detail}; ${outcome.reason.remedy}",
             requestId = requestId.value,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InvokeStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InvokeStage.kt
@@ -39,7 +39,7 @@
         return reply.fold({ notAnswered(it, member) }, { message ->
             when (message) {
                 is ServiceAnswer -> completed(message, request)
-                is Refused -> refused(message, member)
+                is Refused -> refused(message, member, request)
                 is AttemptFailed -> InvokeEnd.MaybeDispatched(message.reason, message.detail).left()
                 else -> InvokeEnd.MaybeDispatched(FailureReason.SERVICE_FAILED, "unexpected reply").left()
             }
@@ -68,8 +68,13 @@
     private fun refused(
         refused: Refused,
         member: FleetMember,
+        request: Invoke,
     ): Either<InvokeEnd, Outcome> {
         loads.heard(refused.load)
+        // Without a claim, the same request may be running there for another connection of the caller.
+        if (refused.refusal.reason == RefusalReason.DUPLICATE_IN_PROGRESS && request.claim == null) {
+            return InvokeEnd.MaybeDispatched(FailureReason.SERVICE_FAILED, refused.refusal.message).left()
+        }
         loads.avoid(member.endpoint)
         return InvokeEnd.NotDispatched(refused.refusal).left()
     }
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServiceJob.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServiceJob.kt
@@ -20,5 +20,8 @@
     val key: IdempotencyKey?,
     val deadline: TimeMark,
 ) {
+    /** What the idempotency key of this job stands for. */
+    val scope: String get() = "${organisation.value}/${service.value}/${operation.value}"
+
     fun deadlineMs(): Long = -deadline.elapsedNow().inWholeMilliseconds
 }
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServicePipeline.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ServicePipeline.kt
@@ -94,7 +94,7 @@
             incarnations
                 .incarnationOf(member.address)
                 .fold({ return invoke.unreachable(member, it.message) }, { it })
-        val decision = claims.claim(ClaimRequest(key, job.requestId, member.endpoint, incarnation, number, job.deadlineMs()))
+        val decision = claims.claim(ClaimRequest(key, job.requestId, job.scope, member.endpoint, incarnation, number, job.deadlineMs()))
         progress.observer.decided(TraceStage.CLAIM, decision.toString(), "", "endpoint" to member.endpoint.value)
         return when (decision) {
             is ClaimDecision.NotClaimed -> notRun(decision.refusal)
--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
@@ -68,7 +68,7 @@
     ) {
         val reply = caller.post(url(0, "/v1/chat/completions"), body)
         assertEquals(status, reply.status, reply.body)
-        assertEquals(true, reply.body.contains("\"title\":\"$code\""), reply.body)
+        assertEquals(true, reply.body.contains("\"code\":\"$code\""), reply.body)
         assertEquals(true, reply.body.contains("\"outcome\":\"not_run\""), reply.body)
     }
 
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/claim/ClaimRecord.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/claim/ClaimRecord.kt
@@ -25,6 +25,8 @@
         val incarnation: Incarnation,
         val attempt: Int,
         val requestId: RequestId,
+        /** What the key was used for; a key that comes back for anything else is refused. */
+        val scope: String = "",
     ) : ClaimRecord
 
     /** States that the claim was never dispatched and never will be. */
--- a/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/InvokeHandlerSpec.kt
+++ b/knapweedferry-sidecar/src/test/kotlin/io/knapweedferry/sidecar/server/InvokeHandlerSpec.kt
@@ -11,6 +11,7 @@
 import io.knapweedferry.api.Rank
 import io.knapweedferry.api.RefusalReason
 import io.knapweedferry.api.RequestId
+import io.knapweedferry.api.StreamName
 import io.knapweedferry.api.message.AttemptFailed
 import io.knapweedferry.api.message.Cancel
 import io.knapweedferry.api.message.Cancelled
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -4,8 +4,13 @@
 import io.knapweedferry.testing.command.ProxyCommand
 import io.knapweedferry.testing.command.ServeCommand
 import io.knapweedferry.testing.command.StandInsCommand
+import io.knapweedferry.testing.load.LoadCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import kotlin.system.exitProcess
+
+/** Exit code for settings or options that are not understood. */
+private const val EXIT_USAGE = 2
 
 /** Entry point of `knapweedferry-testbed`; one subcommand per tool. */
 @OptIn(ExperimentalCli::class)
@@ -13,6 +18,11 @@
     // The library folder is shared with other programs, so the usual resource name could find the settings of another one.
     System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
     val parser = ArgParser("knapweedferry-testbed")
-    parser.subcommands(StandInsCommand(), ProxyCommand(), DemoCommand(), ServeCommand())
-    parser.parse(arguments)
+    parser.subcommands(StandInsCommand(), ProxyCommand(), DemoCommand(), ServeCommand(), LoadCommand())
+    try {
+        parser.parse(arguments)
+    } catch (e: IllegalArgumentException) {
+        System.err.println(e.message)
+        exitProcess(EXIT_USAGE)
+    }
 }
