Let urgent work preempt on endpoints with few slots

In a trial with one slot and a background flood no urgent ticket started in time: a floor of 8 percent was rounded up to the only slot, which made preemption impossible, and the forecast counted a full service time for the ticket that is next. Preemption now leaves the whole slots of the floor; the fraction is met over time by tickets that the floor lets go first, which are spared.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/Floors.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/Floors.kt
@@ -23,6 +23,12 @@
         queueLimit: Int,
     ): Int = (fraction(rank) * queueLimit).toInt()
 
+    /** Slots that make up the floor of [rank], without the fraction that credit accounts for. */
+    fun wholeSlots(
+        rank: Rank,
+        limit: Int,
+    ): Int = (fraction(rank) * limit + ROUNDING).toInt()
+
     /** Floors of the ranks other than [rank] that have work waiting, together. */
     fun fractionOfOthers(
         rank: Rank,
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/GrantOrder.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/GrantOrder.kt
@@ -15,6 +15,8 @@
     class Choice(
         val waiting: WaitingTicket,
         val overtaken: Collection<WaitingTicket>,
+        /** Whether the ticket goes first because of the floor of its rank. */
+        val byFloor: Boolean,
     )
 
     /** Returns the next ticket to grant, or null if nothing that waits may start. */
@@ -26,7 +28,7 @@
         if (held.usedSlots >= limit) return null
         val overtaken = LinkedHashSet<WaitingTicket>()
         for (first in firstBelowFloor(limit, floors, meanServiceMs)) {
-            if (first.ticket.pieces <= held.freePieces) return Choice(first, overtaken)
+            if (first.ticket.pieces <= held.freePieces) return Choice(first, overtaken, byFloor = true)
             if (first.insistent) return null
             overtaken += first
         }
@@ -50,7 +52,7 @@
         var usablePieces = held.freePieces
         for (rank in Rank.entries) {
             for (waiting in queue.turns(rank).inTurn()) {
-                if (waiting.ticket.pieces <= usablePieces) return Choice(waiting, overtaken)
+                if (waiting.ticket.pieces <= usablePieces) return Choice(waiting, overtaken, byFloor = false)
                 if (waiting.insistent) return null
                 overtaken += waiting
             }
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/HeldCapacity.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/HeldCapacity.kt
@@ -9,6 +9,7 @@
     /** In order of grant. */
     private val holders = LinkedHashMap<TicketId, Ticket>()
     private val preempted = HashSet<TicketId>()
+    private val heldByFloor = HashSet<TicketId>()
 
     var usedPieces = 0
         private set
@@ -27,14 +28,19 @@
 
     operator fun contains(id: TicketId): Boolean = id in holders
 
-    fun hold(ticket: Ticket) {
+    fun hold(
+        ticket: Ticket,
+        byFloor: Boolean,
+    ) {
         holders[ticket.id] = ticket
+        if (byFloor) heldByFloor += ticket.id
         usedPieces += ticket.pieces
     }
 
     fun release(id: TicketId) {
         val ticket = holders.remove(id) ?: return
         preempted.remove(id)
+        heldByFloor.remove(id)
         usedPieces -= ticket.pieces
     }
 
@@ -46,6 +52,9 @@
     /** Holders of [rank] that were not told to leave, newest first. */
     fun stayingNewestFirst(rank: Rank): List<Ticket> = holders.values.filter { it.rank == rank && it.id !in preempted }.reversed()
 
+    /** Whether a ticket got its capacity ahead of more urgent work because of the floor of its rank. */
+    fun isHeldByFloor(id: TicketId): Boolean = id in heldByFloor
+
     /** Share of the scarcer of slots and memory that [rank] holds, with [extra] added. */
     fun share(
         rank: Rank,
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/Preemption.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/Preemption.kt
@@ -29,13 +29,17 @@
         return chosen.map { it.id }
     }
 
+    /**
+     * Leaves the whole slots of the floor to the oldest holders. The rest of the floor, a fraction of a slot, is met over
+     * time by tickets that the floor let go first; those are spared too, or they would be paused again and again.
+     */
     private fun candidates(
         limit: Int,
         floors: Floors,
     ): List<Ticket> {
         val staying = held.stayingNewestFirst(LOWEST_RANK)
-        val keep = Math.ceil(floors.fraction(LOWEST_RANK) * limit).toInt()
-        return staying.dropLast(minOf(keep, staying.size))
+        val keep = floors.wholeSlots(LOWEST_RANK, limit)
+        return staying.dropLast(minOf(keep, staying.size)).filter { !held.isHeldByFloor(it.id) }
     }
 
     private fun cover(
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/RankedGate.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/RankedGate.kt
@@ -151,7 +151,7 @@
             val ticket = choice.waiting.ticket
             choice.overtaken.forEach { it.overtakenBy(ticket) }
             queue.serve(choice.waiting)
-            held.hold(ticket)
+            held.hold(ticket, choice.byFloor)
             estimate.observePieces(ticket.pieces)
             granted += ticket.id
         }
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/WaitForecast.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/WaitForecast.kt
@@ -51,18 +51,22 @@
     ): Double {
         val intervalMs = estimate.meanServiceMs / parallel(limit)
         val size = maxOf(1.0, pieces / estimate.meanPieces)
-        val inOrder = (queue.countAbove(rank) + aheadInRank + size).coerceAtLeast(0.0)
+        val position = aheadInRank + size - ELAPSED_PART
+        val inOrder = (queue.countAbove(rank) + position).coerceAtLeast(0.0)
         val rest = (1 - floors.fractionOfOthers(rank, queue)).coerceAtLeast(SMALLEST_SHARE)
         val inOrderMs = inOrder * intervalMs / rest
         val floor = floors.fraction(rank)
         if (floor == 0.0) return inOrderMs
-        return minOf(inOrderMs, (aheadInRank + size).coerceAtLeast(0.0) * intervalMs / floor)
+        return minOf(inOrderMs, position.coerceAtLeast(0.0) * intervalMs / floor)
     }
 
     /** Tickets that run at once when slots or memory, whichever is scarcer, are used up. */
     private fun parallel(limit: Int): Double = minOf(limit.toDouble(), held.limits.pieces / estimate.meanPieces).coerceAtLeast(1.0)
 
     private companion object {
+        /** Running tickets are half done on average, so the first place comes free after half an interval. */
+        const val ELAPSED_PART = 0.5
+
         /** Keeps the forecast finite when the floors of other ranks take everything. */
         const val SMALLEST_SHARE = 0.01
     }
