--- a/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/text/StatusText.kt
+++ b/knapweedferry-cli/src/main/kotlin/io/knapweedferry/cli/text/StatusText.kt
@@ -67,7 +67,7 @@
         val step = report.step?.takeIf { report.effective?.copy(draining = false) != report.assigned?.copy(draining = false) }
         return when {
             report.assigned == null -> "not assigned"
-            step != null -> "becomes ${report.assigned?.role?.name?.lowercase()} of ${report.assigned?.model?.value}: ${step.status.name.lowercase()}"
+            step != null -> "becomes ${step.step.assignment.role.name.lowercase()} ${step.step.version}: ${step.status.name.lowercase()}"
             report.effective?.draining == true -> "draining"
             else -> ""
         }
--- /dev/null
+++ b/knapweedferry-cli/src/test/kotlin/io/knapweedferry/cli/CliSettingsPageSpec.kt
@@ -0,0 +1,30 @@
+package io.knapweedferry.cli
+
+import io.knapweedferry.config.settings.SettingsCatalog
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.nio.file.Path
+import kotlin.io.path.readLines
+
+/** Guards against settings or exit codes of the operator program that docs/settings.md lacks or describes otherwise. */
+internal class CliSettingsPageSpec {
+    private val part =
+        Path
+            .of("../docs/settings.md")
+            .readLines()
+            .dropWhile { it != "## Operator program" }
+            .drop(1)
+            .takeWhile { !it.startsWith("## ") }
+
+    @Test
+    fun `the page lists the settings of the operator program`() {
+        val listed = part.filter { it.startsWith("| `") }.map { it.split(" | ").dropLast(1).joinToString(" | ") + " |" }
+        assertEquals(SettingsCatalog.rows(CliSettings.serializer()).map { it.markdown }, listed)
+    }
+
+    @Test
+    fun `the page lists the exit codes`() {
+        for (exit in ExitCode.entries) assertTrue("| ${exit.code} | ${exit.meaning} |" in part, "exit code ${exit.code}")
+    }
+}
--- /dev/null
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/SettingsCatalog.kt
@@ -0,0 +1,122 @@
+package io.knapweedferry.config.settings
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.descriptors.SerialKind
+import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.descriptors.elementNames
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Lists the settings of a file with type, unit, range and default, so that the settings page can be compared with the code. */
+@OptIn(ExperimentalSerializationApi::class)
+public object SettingsCatalog {
+    private val json = Json { encodeDefaults = true }
+
+    private val units =
+        listOf(
+            "_bytes_per_second" to "bytes/s",
+            "bytes_per_second" to "bytes/s",
+            "_ms" to "ms",
+            "_bytes" to "bytes",
+            "_percent" to "%",
+            "_tokens" to "tokens",
+        )
+
+    /** Returns the settings of the class of [serializer] in the order of its sections. */
+    public fun <T> rows(serializer: KSerializer<T>): List<SettingRow> {
+        val descriptor = serializer.descriptor
+        val sample = json.decodeFromJsonElement(serializer, sampleOf(descriptor))
+        return rows(descriptor, json.encodeToJsonElement(serializer, sample) as JsonObject, "")
+    }
+
+    private fun rows(
+        descriptor: SerialDescriptor,
+        values: JsonObject,
+        section: String,
+    ): List<SettingRow> =
+        (0 until descriptor.elementsCount).flatMap { index ->
+            val name = descriptor.getElementName(index)
+            val element = TreeCheck.unwrap(descriptor.getElementDescriptor(index))
+            val value = values[name]
+            when {
+                element.kind == StructureKind.CLASS -> rows(element, value as JsonObject, "[$name]")
+                isTableList(element) -> rows(element.getElementDescriptor(0), (value as JsonArray)[0] as JsonObject, "[[$name]]")
+                else -> listOf(row(descriptor, index, value, section))
+            }
+        }
+
+    private fun row(
+        owner: SerialDescriptor,
+        index: Int,
+        value: JsonElement?,
+        section: String,
+    ): SettingRow {
+        val name = owner.getElementName(index)
+        val element = TreeCheck.unwrap(owner.getElementDescriptor(index))
+        val default = if (owner.isElementOptional(index)) defaultText(value) else "required"
+        return SettingRow(section, name, typeText(element), unitOf(name), rangeOf(owner.getElementAnnotations(index), element), default)
+    }
+
+    private fun defaultText(value: JsonElement?): String =
+        if (value == null || value is JsonNull || value is JsonArray) "none" else "`${(value as JsonPrimitive).content}`"
+
+    private fun typeText(element: SerialDescriptor): String =
+        when (element.kind) {
+            PrimitiveKind.BOOLEAN -> "boolean"
+            PrimitiveKind.INT, PrimitiveKind.LONG -> "integer"
+            StructureKind.LIST -> "list of ${typeText(TreeCheck.unwrap(element.getElementDescriptor(0)))}s"
+            else -> "string"
+        }
+
+    private fun unitOf(name: String): String = units.firstOrNull { (suffix, _) -> name.endsWith(suffix) }?.second ?: "-"
+
+    private fun rangeOf(
+        rules: List<Annotation>,
+        element: SerialDescriptor,
+    ): String {
+        val range = rules.filterIsInstance<InRange>().firstOrNull()
+        val form = rules.filterIsInstance<TextRule>().firstOrNull()
+        return when {
+            range != null -> "${range.min} to ${range.max}"
+            form != null -> form.form.remedy
+            element.kind == SerialKind.ENUM -> element.elementNames.joinToString { "`$it`" }
+            element.kind == PrimitiveKind.BOOLEAN -> "`true`, `false`"
+            else -> "-"
+        }
+    }
+
+    private fun isTableList(element: SerialDescriptor): Boolean =
+        element.kind == StructureKind.LIST && TreeCheck.unwrap(element.getElementDescriptor(0)).kind == StructureKind.CLASS
+
+    /** Smallest tree that can be decoded, with one entry in each list of tables, so that the defaults can be read from it. */
+    private fun sampleOf(declared: SerialDescriptor): JsonElement {
+        val descriptor = TreeCheck.unwrap(declared)
+        return when (descriptor.kind) {
+            StructureKind.CLASS -> {
+                val needed =
+                    (0 until descriptor.elementsCount).filter {
+                        !descriptor.isElementOptional(it) ||
+                            isTableList(descriptor.getElementDescriptor(it))
+                    }
+                JsonObject(needed.associate { descriptor.getElementName(it) to sampleOf(descriptor.getElementDescriptor(it)) })
+            }
+
+            StructureKind.LIST -> JsonArray(listOf(sampleOf(descriptor.getElementDescriptor(0))))
+
+            SerialKind.ENUM -> JsonPrimitive(descriptor.getElementName(0))
+
+            PrimitiveKind.STRING -> JsonPrimitive("")
+
+            PrimitiveKind.BOOLEAN -> JsonPrimitive(false)
+
+            else -> JsonPrimitive(0)
+        }
+    }
+}
--- a/knapweedferry-config/src/test/kotlin/io/knapweedferry/config/intent/FleetFileSpec.kt
+++ b/knapweedferry-config/src/test/kotlin/io/knapweedferry/config/intent/FleetFileSpec.kt
@@ -19,6 +19,8 @@
 import io.knapweedferry.config.state.WorkPolicy
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import java.nio.file.Path
+import kotlin.io.path.readText
 
 /** Guards against a fleet file of which a part is dropped or misread. */
 internal class FleetFileSpec {
@@ -84,6 +86,19 @@
         assertEquals(expected, FleetFile.parse("fleet.toml", text).getOrElse { error(it.toString()) })
     }
 
+    @Test
+    fun `the example of the settings page is readable`() {
+        val page = Path.of("../docs/settings.md").readText()
+        val example = page.substringAfter("```toml\n").substringBefore("```")
+        assertEquals(
+            2,
+            FleetFile
+                .parse("settings.md", example)
+                .getOrElse { error(it.toString()) }
+                .endpoints.size,
+        )
+    }
+
     @Test
     fun `faults name the key`() {
         val faults =
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/operator/OperatorRoutes.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/operator/OperatorRoutes.kt
@@ -59,7 +59,9 @@
         routes.get("$ROOT/changes/{id}/explain") { ctx ->
             answer(ctx, ChangeExplanation.serializer(), OK) { request, _, _ -> id(request).flatMap { explainer.explain(it) } }
         }
-        routes.get("$ROOT/requests/{id}/explain") { ctx -> answer(ctx, JsonElement.serializer(), OK) { request, _, _ -> explainRequest(request) } }
+        routes.get(
+            "$ROOT/requests/{id}/explain",
+        ) { ctx -> answer(ctx, JsonElement.serializer(), OK) { request, _, _ -> explainRequest(request) } }
     }
 
     private suspend fun plan(
