--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/claim/LogClaimService.kt
@@ -60,7 +60,16 @@
             ClaimAnswer.Unclaimed -> Unit
         }
         val id = ClaimId(newIds.generate().toString())
-        val record = ClaimRecord.Claim(id, key.key, request.endpoint, request.incarnation, request.attempt, request.requestId, request.scope)
+        val record =
+            ClaimRecord.Claim(
+                id,
+                key.key,
+                request.endpoint,
+                request.incarnation,
+                request.attempt,
+                request.requestId,
+                request.scope,
+            )
         val error = appenders[number].append(ClaimPartition.encode(record)).leftOrNull()
         if (error != null && ClaimPartition.hadNoEffect(error)) return notClaimed(RefusalReason.LOG_UNAVAILABLE, error.message)
         // Also after a lost response: if the append took effect, the claim shows up in the stream.
--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
@@ -15,14 +15,13 @@
 /** Guards against a break anywhere on the path of a request, and against bad input that is accepted or holds something. */
 @TestInstance(Lifecycle.PER_CLASS)
 internal class WholePathSpec {
-    @TempDir
-    lateinit var folder: Path
-
     private lateinit var deployment: LocalDeployment
     private val caller = Caller()
 
     @BeforeAll
-    fun start() {
+    fun start(
+        @TempDir folder: Path,
+    ) {
         deployment = LocalDeployment(Deployments.small(), folder, Daemons.classPath)
         deployment.start()
     }
@@ -42,7 +41,13 @@
         val reply = caller.post(url(entry, "/v1/chat/completions"), Caller.chat(work, "history", 9, stream))
         assertEquals(200, reply.status, reply.body)
         if (stream) {
-            assertEquals("data: [DONE]", reply.body.trim().lines().last())
+            assertEquals(
+                "data: [DONE]",
+                reply.body
+                    .trim()
+                    .lines()
+                    .last(),
+            )
             assertEquals(9, reply.body.lines().count { it.startsWith("id: ") })
         } else {
             assertEquals(true, reply.body.contains("\"completion_tokens\":9"), reply.body)
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
@@ -136,7 +136,12 @@
         url: String,
         body: String,
     ) {
-        val request = Request.Builder().url(url).post(body.toRequestBody("application/json".toMediaType())).build()
+        val request =
+            Request
+                .Builder()
+                .url(url)
+                .post(body.toRequestBody("application/json".toMediaType()))
+                .build()
         http.newCall(request).execute().use { check(it.isSuccessful) { "$url gave ${it.code}: ${it.body.string()}" } }
     }
 
