Specify the entry's decisions and admit by rank

The entry used a plain limit, so a flood of background requests could take every place; the limiter by rank of the policy module takes over.

--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/DaemonRunner.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/DaemonRunner.kt
@@ -1,11 +1,13 @@
 package io.knapweedferry.daemon.process
 
+import io.javalin.util.JavalinException
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.ExitCode
 import io.knapweedferry.telemetry.LogEvent
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
+import java.io.IOException
 import java.net.BindException
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -24,9 +26,9 @@
             watchSignals(process)
             try {
                 process.start()
-            } catch (failure: java.io.IOException) {
+            } catch (failure: IOException) {
                 return@runBlocking failedToListen(failure)
-            } catch (failure: RuntimeException) {
+            } catch (failure: JavalinException) {
                 return@runBlocking failedToListen(failure)
             }
             events.write(LogEvent.PROCESS_STARTED, "process" to process.name)
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
@@ -90,11 +90,7 @@
     private val parts =
         EntryParts(
             settings = settings,
-            scope = scope,
-            sessions = sessions,
-            follower = follower,
-            fleet = fleet,
-            claims = claims,
+            connections = EntryConnections(scope, sessions, follower, fleet, claims),
             observers = RequestObservers(audit, metrics, events, TimeSource.Monotonic),
             metrics = metrics,
             operator = operatorRoutes(),
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -2,9 +2,6 @@
 
 import io.knapweedferry.config.settings.EntrySettings
 import io.knapweedferry.config.settings.PlacementPolicyName
-import io.knapweedferry.config.stream.ConfigFollower
-import io.knapweedferry.entry.claim.ClaimService
-import io.knapweedferry.entry.fleet.FleetView
 import io.knapweedferry.entry.fleet.IncarnationCache
 import io.knapweedferry.entry.fleet.LoadBoard
 import io.knapweedferry.entry.http.ChatRoute
@@ -31,9 +28,7 @@
 import io.knapweedferry.policy.placement.PlacementPolicy
 import io.knapweedferry.policy.placement.RandomPlacement
 import io.knapweedferry.policy.placement.ScoredPlacement
-import io.knapweedferry.session.SessionClient
 import io.knapweedferry.telemetry.RouterMetrics
-import kotlinx.coroutines.CoroutineScope
 import java.time.InstantSource
 import kotlin.random.Random
 import kotlin.time.TimeSource
@@ -41,15 +36,15 @@
 /** Wires the request path of an entry from its outside connections. */
 internal class EntryParts(
     private val settings: EntrySettings,
-    private val scope: CoroutineScope,
-    private val sessions: SessionClient,
-    private val follower: ConfigFollower,
-    private val fleet: FleetView,
-    private val claims: ClaimService,
+    private val connections: EntryConnections,
     private val observers: RequestObservers,
     private val metrics: RouterMetrics,
     private val operator: RouteGroup,
 ) {
+    private val sessions = connections.sessions
+    private val follower = connections.follower
+    private val fleet = connections.fleet
+    private val claims = connections.claims
     private val timeSource = TimeSource.Monotonic
     private val clock = InstantSource.system()
     private val loads = LoadBoard(timeSource)
@@ -85,7 +80,7 @@
             prefill = PrefillStage(fleet, loads, candidates, sessions),
             decode = DecodeStage(loads, sessions),
             retries = retries,
-            cancels = CancelNotifier(scope, sessions),
+            cancels = CancelNotifier(connections.scope, sessions),
             keepAliveMs = KEEP_ALIVE_MS,
         )
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ChatRoute.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ChatRoute.kt
@@ -40,16 +40,10 @@
     override fun handle(ctx: Context) {
         val request = CallerRequests.read(ctx)
         val observer = observers.start(request.requestId)
-        val job = limit.enter().flatMap { classified(request, observer).onLeft { limit.leave() } }
-        job.fold(
+        val admitted = classified(request, observer).flatMap { job -> limit.enter(job.rank).map { job to it } }
+        admitted.fold(
             { refuse(ctx, request, it, observer) },
-            {
-                try {
-                    if (it.stream) stream(ctx, request, it, observer) else whole(ctx, it, observer)
-                } finally {
-                    limit.leave()
-                }
-            },
+            { (job, permit) -> permit.use { if (job.stream) stream(ctx, request, job, observer) else whole(ctx, job, observer) } },
         )
     }
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ServiceRoute.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ServiceRoute.kt
@@ -36,19 +36,13 @@
         val service = ServiceName(ctx.pathParam("service"))
         val operation = OperationName(ctx.pathParam("operation"))
         val observer = observers.start(request.requestId)
-        val job = limit.enter().flatMap { classified(request, service, operation, observer).onLeft { limit.leave() } }
-        job.fold(
+        val admitted = classified(request, service, operation, observer).flatMap { job -> limit.enter(job.rank).map { job to it } }
+        admitted.fold(
             {
                 observer.refusedEarly(Outcome.NotRun(it))
                 ProblemResponse.write(ctx, ProblemDetail.of(it, request.requestId))
             },
-            {
-                try {
-                    answer(ctx, it, observer)
-                } finally {
-                    limit.leave()
-                }
-            },
+            { (job, permit) -> permit.use { answer(ctx, job, observer) } },
         )
     }
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/DecodeStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/DecodeStage.kt
@@ -85,17 +85,28 @@
     ): Either<StreamEnd, AnswerEnd> {
         while (true) {
             val message = exchange.receive().fold({ return lost(it) }, { it }) ?: return StreamEnd.Lost("exchange ended early").left()
-            when (message) {
-                is Tokens -> deliver(attempt, member, message)?.let { return it.left() }
-                is AnswerEnd -> return prove(attempt, message)
-                is AttemptFailed -> return StreamEnd.Failed(message.reason, message.detail).left().also { loads.heard(message.load) }
-                is Refused -> return StreamEnd.Refused(message.refusal).left()
-                is DecodeStarted -> trace(attempt, member, "started", "cache moved in ${message.transferMs} ms")
-                else -> return StreamEnd.Failed(FailureReason.ENGINE_FAILED, "unexpected reply").left()
-            }
+            endBy(message, attempt, member)?.let { return it }
         }
     }
 
+    /** How [message] ends the stream, or null if it goes on. */
+    private fun endBy(
+        message: Message,
+        attempt: ModelAttempt,
+        member: FleetMember,
+    ): Either<StreamEnd, AnswerEnd>? =
+        when (message) {
+            is Tokens -> deliver(attempt, member, message)?.left()
+            is AnswerEnd -> prove(attempt, message)
+            is AttemptFailed -> StreamEnd.Failed(message.reason, message.detail).left().also { loads.heard(message.load) }
+            is Refused -> StreamEnd.Refused(message.refusal).left()
+            is DecodeStarted -> {
+                trace(attempt, member, "started", "cache moved in ${message.transferMs} ms")
+                null
+            }
+            else -> StreamEnd.Failed(FailureReason.ENGINE_FAILED, "unexpected reply").left()
+        }
+
     private fun trace(
         attempt: ModelAttempt,
         member: FleetMember,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InFlightLimit.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/InFlightLimit.kt
@@ -3,32 +3,32 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.knapweedferry.api.Rank
 import io.knapweedferry.api.Refusal
 import io.knapweedferry.api.RefusalReason
-import java.util.concurrent.atomic.AtomicInteger
+import io.knapweedferry.policy.admission.InFlightLimiter
+import io.knapweedferry.policy.admission.InFlightPermit
 
-/** Bounds the requests in progress at one entry, so that a flood cannot exhaust its threads and memory. */
+/** Bounds the requests in progress at one entry, and refuses all new ones once the entry is stopping. */
 internal class InFlightLimit(
-    private val limit: Int,
+    limit: Int,
 ) {
-    private val inFlight = AtomicInteger()
+    private val limiter = InFlightLimiter(limit)
 
     @Volatile
     private var closed = false
 
     val isClosed: Boolean get() = closed
 
-    val count: Int get() = inFlight.get()
+    val count: Int get() = limiter.inFlight
 
-    fun enter(): Either<Refusal, Unit> {
-        if (closed) return Refusal(RefusalReason.SHUTTING_DOWN, retryAfterMs = 0).left()
-        if (inFlight.incrementAndGet() <= limit) return Unit.right()
-        inFlight.decrementAndGet()
-        return Refusal(RefusalReason.ENTRY_FULL, retryAfterMs = RETRY_AFTER_MS).left()
-    }
-
-    fun leave() {
-        inFlight.decrementAndGet()
+    /** A permit to close when the request ends. */
+    fun enter(rank: Rank): Either<Refusal, InFlightPermit> {
+        val permit = limiter.tryAcquire(rank) ?: return Refusal(RefusalReason.ENTRY_FULL, retryAfterMs = RETRY_AFTER_MS).left()
+        // Looked at after the request is counted, so that a drain that saw no requests lets none in.
+        if (!closed) return permit.right()
+        permit.close()
+        return Refusal(RefusalReason.SHUTTING_DOWN, retryAfterMs = 0).left()
     }
 
     /** Refuses everything from now on; requests in progress go on. */
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
@@ -7,7 +7,6 @@
 import io.knapweedferry.api.Outcome
 import io.knapweedferry.api.message.AnswerEnd
 import io.knapweedferry.entry.observe.RequestObserver
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -102,8 +101,6 @@
                     val source = if (placement.attach == null) prefill.prefill(attempt, placement) else Either.Right(null)
                     source.flatMap { decode.decode(attempt, placement, it) }
                 }.onRight { whole = true }
-        } catch (cancelled: CancellationException) {
-            throw cancelled
         } finally {
             if (!whole) cancels.cancel(attempt)
         }
