Let each entry use a stable subset of endpoints and hints about cached prefixes

Every entry talked to every endpoint. Subsets by rendezvous hashing per purpose bound that, and placement of a prefill now weighs the prefixes that the entry's own prefills left behind.

--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
@@ -16,6 +16,7 @@
 import io.knapweedferry.platform.instance.HttpInstanceList
 import io.knapweedferry.platform.log.HttpAppendLog
 import io.knapweedferry.platform.weight.HttpWeightStore
+import io.knapweedferry.policy.placement.EndpointSubset
 import io.knapweedferry.session.ConfigPuller
 import io.knapweedferry.session.SessionKey
 import io.knapweedferry.session.SessionSettings
@@ -76,7 +77,13 @@
                 ),
             listener = FollowerEvents(events),
         )
-    private val fleet: FleetView = FleetView(instances, follower, settings.platform.instancePollMs)
+    private val fleet: FleetView =
+        FleetView(
+            instances,
+            follower,
+            settings.platform.instancePollMs,
+            EndpointSubset(settings.process.id, settings.placement.subsetSize),
+        )
     private val audit =
         AuditTrail(
             log,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -4,6 +4,7 @@
 import io.knapweedferry.config.settings.PlacementPolicyName
 import io.knapweedferry.entry.fleet.IncarnationCache
 import io.knapweedferry.entry.fleet.LoadBoard
+import io.knapweedferry.entry.fleet.PrefixHints
 import io.knapweedferry.entry.http.ChatRoute
 import io.knapweedferry.entry.http.ModelsRoute
 import io.knapweedferry.entry.http.RouteGroup
@@ -50,7 +51,7 @@
     private val loads = LoadBoard(timeSource)
     private val authenticator = Authenticator()
     private val retries = RetryRule(settings.retry.maxAttempts, retryAllowance(), Random.Default)
-    private val candidates = CandidateList(placementPolicy(), loads, settings.process.availabilityZone)
+    private val candidates = CandidateList(placementPolicy(), loads, settings.process.availabilityZone, PrefixHints(timeSource))
     val limit = InFlightLimit(settings.http.maxInFlight)
 
     fun server(): EntryServer =
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetMember.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetMember.kt
@@ -10,4 +10,7 @@
     val address: String,
     val availabilityZone: AvailabilityZone,
     val assignment: EndpointAssignment,
-)
+) {
+    /** Endpoints with the same purpose can stand in for one another. */
+    val purpose: EndpointPurpose get() = EndpointPurpose(assignment.role, assignment.model, assignment.service)
+}
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/fleet/FleetView.kt
@@ -6,6 +6,7 @@
 import io.knapweedferry.platform.instance.InstanceList
 import io.knapweedferry.platform.instance.InstanceState
 import io.knapweedferry.platform.instance.ListedInstance
+import io.knapweedferry.policy.placement.EndpointSubset
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.collectLatest
@@ -20,6 +21,7 @@
     private val instanceList: InstanceList,
     private val config: ConfigSource,
     private val pollMs: Long,
+    private val subset: EndpointSubset,
 ) {
     private val listed = AtomicReference<List<ListedInstance>>(emptyList())
     private val fleet = AtomicReference(Fleet.EMPTY)
@@ -81,7 +83,20 @@
                         ?.takeUnless { it.draining }
                         ?.let { FleetMember(endpoint, instance.sessionAddress, instance.availabilityZone, it) }
                 }
-        return Fleet(snapshot.revision, members.associateBy { it.endpoint })
+        return Fleet(
+            snapshot.revision,
+            members
+                .groupBy { it.purpose }
+                .values
+                .flatMap(::ours)
+                .associateBy { it.endpoint },
+        )
+    }
+
+    /** The part of the endpoints for one purpose that this entry talks to, so that not every entry talks to all. */
+    private fun ours(members: List<FleetMember>): List<FleetMember> {
+        val chosen = subset.select(members.associate { it.endpoint to it.availabilityZone })
+        return members.filter { it.endpoint in chosen }
     }
 
     private companion object {
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/RequestObserver.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/observe/RequestObserver.kt
@@ -5,6 +5,7 @@
 import io.knapweedferry.api.Rank
 import io.knapweedferry.api.RetryReason
 import io.knapweedferry.config.state.RankPolicy
+import io.knapweedferry.telemetry.DroppedFrameReason
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.LogEvent
 import io.knapweedferry.telemetry.RequestKind
@@ -67,6 +68,10 @@
         metrics.delivered(rank, tokenCount)
     }
 
+    fun droppedFrames(count: Int) {
+        repeat(count) { metrics.frameDropped(DroppedFrameReason.DUPLICATE) }
+    }
+
     fun finished(
         kind: RequestKind,
         rank: Rank,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/CandidateList.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/CandidateList.kt
@@ -3,6 +3,7 @@
 import io.knapweedferry.api.AvailabilityZone
 import io.knapweedferry.entry.fleet.FleetMember
 import io.knapweedferry.entry.fleet.LoadBoard
+import io.knapweedferry.entry.fleet.PrefixHints
 import io.knapweedferry.policy.placement.PlacementCandidate
 import io.knapweedferry.policy.placement.PlacementNeed
 import io.knapweedferry.policy.placement.PlacementPolicy
@@ -12,14 +13,23 @@
     private val policy: PlacementPolicy,
     private val loads: LoadBoard,
     private val availabilityZone: AvailabilityZone,
-    private val cachedTokensHint: (FleetMember, ModelJob) -> Int = { _, _ -> 0 },
+    private val prefixes: PrefixHints,
 ) {
     fun forModel(
         members: List<FleetMember>,
         job: ModelJob,
     ): List<FleetMember> {
         val need = PlacementNeed(job.rank, job.promptTokens, piecesOf(job), availabilityZone)
-        return order(members, need) { cachedTokensHint(it, job) }
+        val hashes = prefixes.hashesOf(job.model, job.prompt)
+        return order(members, need) { prefixes.cachedTokens(it.endpoint, hashes) }
+    }
+
+    /** Notes that [member] computed the prompt of [job] and probably still has its prefixes. */
+    fun prefilled(
+        member: FleetMember,
+        job: ModelJob,
+    ) {
+        prefixes.prefilled(member.endpoint, prefixes.hashesOf(job.model, job.prompt))
     }
 
     fun forService(
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
@@ -31,7 +31,9 @@
     ): Outcome {
         val assembler = AnswerAssembler(job.requestId, resume?.position ?: 0)
         val run = Run(job, sink, assembler, observer, resume)
-        return withTimeoutOrNull(job.deadlineMs().milliseconds) { withKeepAlive(run) } ?: timedOut(assembler)
+        val outcome = withTimeoutOrNull(job.deadlineMs().milliseconds) { withKeepAlive(run) } ?: timedOut(assembler)
+        observer.droppedFrames(assembler.droppedFrames)
+        return outcome
     }
 
     private class Run(
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
@@ -99,6 +99,7 @@
         done: Prefilled,
     ): Either<AttemptEnd, KvSource> {
         loads.heard(done.load)
+        candidates.prefilled(member, attempt.job)
         val timing = "queued ${done.queuedMs} ms, computed ${done.prefillMs} ms, ${done.cachedTokens} tokens cached"
         trace(attempt, member, "prefilled", timing)
         return done.source.right()
