Relax first-token targets of the small deployment

On a machine with a load of 39 a cold entry missed the 550 ms target and refused the demo's first request as not run; targets on a shared machine are for measurements.

--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/Deployments.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/Deployments.kt
@@ -30,6 +30,7 @@
     /** Token of the operator `bob` of a test deployment. */
     public const val OTHER_OPERATOR_TOKEN: String = "other-operator-token"
 
+    private const val RELAXED_FIRST_TOKEN_MS = 10_000L
     private const val CONTEXT_TOKENS = 131_072
 
     /** One prefill engine, two decode engines and one service. */
@@ -45,10 +46,13 @@
                     PlannedEngine("decode-2", zones[1], EndpointRole.DECODE, "harbor-review"),
                 ),
             services = listOf(PlannedService("dock-1", zones[0], "dock-clerk")),
-            policies = merrimackPolicies(),
+            policies = merrimackPolicies().let { it.copy(ranks = it.ranks.mapValues { (_, rank) -> relaxed(rank) }) },
         )
     }
 
+    /** Targets that freshly started daemons on a busy machine can meet; the real ones are for measurements. */
+    private fun relaxed(rank: RankPolicy) = rank.copy(firstTokenTargetMs = maxOf(rank.firstTokenTargetMs, RELAXED_FIRST_TOKEN_MS))
+
     /** The Authority: three availability zones, 13 engines, 3 services. */
     public fun merrimack(): DeploymentPlan {
         val zones = listOf("newburyport", "haverhill", "lowell")
