Add the testbed subcommand capacity

Nothing measured what real daemons use as fleet, configuration and load grow, so docs/CAPACITY.md had no figures to derive from. The subcommand starts a deployment on loopback and prints memory, processor time and bytes read and written, from the kernel's counters of each process, for four measurements: FLEET, REQUESTS, CLAIMS and ROLLOUT.

--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -1,5 +1,6 @@
 package io.knapweedferry.testing
 
+import io.knapweedferry.testing.capacity.CapacityCommand
 import io.knapweedferry.testing.command.DemoCommand
 import io.knapweedferry.testing.command.ProxyCommand
 import io.knapweedferry.testing.command.ServeCommand
@@ -18,7 +19,7 @@
     // The library folder is shared with other programs, so the usual resource name could find the settings of another one.
     System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
     val parser = ArgParser("knapweedferry-testbed")
-    parser.subcommands(StandInsCommand(), ProxyCommand(), DemoCommand(), ServeCommand(), LoadCommand())
+    parser.subcommands(StandInsCommand(), ProxyCommand(), DemoCommand(), ServeCommand(), LoadCommand(), CapacityCommand())
     try {
         parser.parse(arguments)
     } catch (e: IllegalArgumentException) {
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/CapacityCommand.kt
@@ -0,0 +1,65 @@
+package io.knapweedferry.testing.capacity
+
+import io.knapweedferry.testing.deploy.Deployments
+import io.knapweedferry.testing.deploy.LocalDeployment
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Measures what daemons use on loopback; `docs/CAPACITY.md` derives its figures from the output. */
+@OptIn(ExperimentalCli::class)
+internal class CapacityCommand : Subcommand("capacity", "Measure memory, processor time and bytes of real daemons") {
+    /** Measurements to choose from. */
+    internal enum class Kind { FLEET, REQUESTS, CLAIMS, ROLLOUT }
+
+    private val kind by argument(ArgType.Choice<Kind>(), "measurement", description = "what to measure")
+    private val seconds by option(ArgType.Int, "seconds", description = "Length of each sample").default(DEFAULT_SECONDS)
+
+    override fun execute() {
+        val folder = Files.createTempDirectory("knapweedferry-capacity")
+        when (kind) {
+            Kind.FLEET -> small(folder) { fleet(EndpointSlope(it, seconds.toLong())) }
+            Kind.REQUESTS -> small(folder) { requests(RequestSlope(it, seconds)) }
+            Kind.CLAIMS -> small(folder) { deployment -> claims(ClaimSlope(deployment, seconds)) }
+            Kind.ROLLOUT -> ROLLOUT_SIDECARS.forEach { RolloutSlope(folder).measure(it) }
+        }
+    }
+
+    private fun small(
+        folder: Path,
+        measure: (LocalDeployment) -> Unit,
+    ) = LocalDeployment(Deployments.small(), folder).use {
+        it.start()
+        measure(it)
+    }
+
+    private fun fleet(slope: EndpointSlope) {
+        println("instance_poll_ms is 200 in test deployments; the default is 1000")
+        slope.measure(endpoints = 0, organisations = 0, models = 0)
+        slope.measure(endpoints = 10, organisations = 10, models = 0)
+        slope.measure(endpoints = 100, organisations = 10, models = 0)
+        slope.measure(endpoints = 600, organisations = 10, models = 0)
+        slope.measure(endpoints = 600, organisations = 100, models = 0)
+        slope.measure(endpoints = 600, organisations = 660, models = 18)
+    }
+
+    private fun requests(slope: RequestSlope) {
+        // The first load is discarded, because it includes class loading and compilation.
+        slope.measure(perSecond = 10, answerTokens = 10)
+        for (rate in listOf(5, 10, 20)) slope.measure(rate, answerTokens = 10)
+        slope.measure(perSecond = 10, answerTokens = 40)
+    }
+
+    private fun claims(slope: ClaimSlope) {
+        // The first load is discarded, because it includes class loading and compilation.
+        for (callers in listOf(4, 4, 16, 64)) slope.measure(callers)
+    }
+
+    private companion object {
+        const val DEFAULT_SECONDS = 5
+        val ROLLOUT_SIDECARS = listOf(4, 12, 24)
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/ClaimSlope.kt
@@ -0,0 +1,63 @@
+package io.knapweedferry.testing.capacity
+
+import com.fasterxml.uuid.Generators
+import io.knapweedferry.testing.deploy.Deployments
+import io.knapweedferry.testing.deploy.LocalDeployment
+import kotlinx.serialization.json.jsonPrimitive
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Claims through one entry against appends to the log, and what a second entry without load spends on following them. */
+internal class ClaimSlope(
+    private val deployment: LocalDeployment,
+    private val seconds: Int,
+) {
+    private val http = OkHttpClient()
+    private val keys = Generators.timeBasedEpochGenerator()
+
+    fun measure(callers: Int) {
+        val answered = AtomicInteger()
+        val refused = AtomicInteger()
+        val appendsBefore = appends()
+        val use =
+            ProcessUse.during(deployment.entries) {
+                val pool = Executors.newFixedThreadPool(callers)
+                val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds.toLong())
+                repeat(callers) {
+                    pool.execute { while (System.nanoTime() < end) (if (call()) answered else refused).incrementAndGet() }
+                }
+                pool.shutdown()
+                pool.awaitTermination(seconds + WAIT_SECONDS, TimeUnit.SECONDS)
+            }
+        println("$callers callers: ${answered.get()} claimed and run, ${refused.get()} not, ${appends() - appendsBefore} appends")
+        println("  entry with load ${use[0]}")
+        println("  entry without load ${use[1]}")
+    }
+
+    private fun appends() =
+        deployment
+            .ledger("log")
+            .getValue("appends")
+            .jsonPrimitive.content
+            .toLong()
+
+    private fun call(): Boolean {
+        val request =
+            Request
+                .Builder()
+                .url("${deployment.entryUrl(0)}/v1/services/dock-clerk/tag-stamp")
+                .header("Authorization", "Bearer ${Deployments.API_KEY}")
+                .header("Idempotency-Key", keys.generate().toString())
+                .post("{}".toRequestBody("application/json".toMediaType()))
+        return http.newCall(request.build()).execute().use { it.isSuccessful }
+    }
+
+    private companion object {
+        const val WAIT_SECONDS = 10L
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/ProcessSample.kt
@@ -0,0 +1,52 @@
+package io.knapweedferry.testing.capacity
+
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** Counters of one process, read from the kernel. */
+internal data class ProcessSample(
+    val atNanos: Long,
+    val cpuMs: Long,
+    val residentKb: Long,
+    /** Bytes read and written by system calls, which for a daemon are its sockets and its log file. */
+    val ioBytes: Long,
+) {
+    internal companion object {
+        /** Linux reports processor time to user space in hundredths of a second. */
+        private const val MS_PER_TICK = 10L
+
+        // Fields after the command name in parentheses, which may itself contain spaces.
+        private const val USER_TICKS = 11
+        private const val SYSTEM_TICKS = 12
+
+        fun of(pid: Long): ProcessSample {
+            val folder = Path.of("/proc", pid.toString())
+            val stat =
+                folder
+                    .resolve("stat")
+                    .readText()
+                    .substringAfterLast(") ")
+                    .split(' ')
+            val io = numbers(folder.resolve("io").readText())
+            return ProcessSample(
+                System.nanoTime(),
+                (stat[USER_TICKS].toLong() + stat[SYSTEM_TICKS].toLong()) * MS_PER_TICK,
+                numbers(folder.resolve("status").readText()).getValue("VmRSS"),
+                io.getValue("rchar") + io.getValue("wchar"),
+            )
+        }
+
+        private fun numbers(text: String): Map<String, Long> =
+            text
+                .lines()
+                .mapNotNull { line ->
+                    val value =
+                        line
+                            .substringAfter(':')
+                            .trim()
+                            .substringBefore(' ')
+                            .toLongOrNull()
+                    value?.let { line.substringBefore(':') to it }
+                }.toMap()
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/ProcessUse.kt
@@ -0,0 +1,48 @@
+package io.knapweedferry.testing.capacity
+
+import io.knapweedferry.testing.deploy.ManagedProcess
+import java.util.Locale
+
+/** What a process used between two samples. */
+internal data class ProcessUse(
+    val cpuMs: Long,
+    val ioBytes: Long,
+    val residentKb: Long,
+    val seconds: Double,
+) {
+    override fun toString(): String =
+        String.format(
+            Locale.ROOT,
+            "rss %.1f MB, cpu %.2f %% of a core, io %.0f B/s (cpu %d ms, io %d B in %.1f s)",
+            residentKb / KB_PER_MB,
+            cpuMs / seconds / MS_PER_PERCENT,
+            ioBytes / seconds,
+            cpuMs,
+            ioBytes,
+            seconds,
+        )
+
+    internal companion object {
+        private const val KB_PER_MB = 1024.0
+        private const val MS_PER_PERCENT = 10.0
+        private const val NANOS_PER_SECOND = 1e9
+
+        /** Use of each of [processes] while [work] runs. */
+        fun during(
+            processes: List<ManagedProcess>,
+            work: () -> Unit,
+        ): List<ProcessUse> {
+            val before = processes.map { ProcessSample.of(it.pid) }
+            work()
+            return processes.zip(before) { process, start ->
+                val end = ProcessSample.of(process.pid)
+                ProcessUse(
+                    end.cpuMs - start.cpuMs,
+                    end.ioBytes - start.ioBytes,
+                    end.residentKb,
+                    (end.atNanos - start.atNanos) / NANOS_PER_SECOND,
+                )
+            }
+        }
+    }
+}
