Add the measure subcommand and the reserve_first setting

Cause: routing policies could not be compared under the same arrivals. Change: measure runs a scaled-down deployment per policy, scenario and seed; [placement] reserve_first = false prefills before it reserves, as the baseline.

--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/PlacementSettings.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/settings/PlacementSettings.kt
@@ -11,4 +11,7 @@
     @InRange(min = 1, max = 1_000)
     @SerialName("subset_size")
     val subsetSize: Int = 24,
+    /** False prefills before decode capacity is reserved, as routers without reservations do; only for measurements. */
+    @SerialName("reserve_first")
+    val reserveFirst: Boolean = true,
 )
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -87,6 +87,7 @@
             retries = retries,
             cancels = CancelNotifier(scope, sessions),
             keepAliveMs = KEEP_ALIVE_MS,
+            reserveFirst = settings.placement.reserveFirst,
         )
 
     private fun servicePipeline() =
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/ModelPipeline.kt
@@ -22,6 +22,7 @@
     private val retries: RetryRule,
     private val cancels: CancelNotifier,
     private val keepAliveMs: Long,
+    private val reserveFirst: Boolean = true,
 ) {
     /** Runs [job]; tokens go to [sink] as they come. Never throws except for cancellation. */
     suspend fun run(
@@ -96,12 +97,8 @@
     private suspend fun runOnce(attempt: ModelAttempt): Either<AttemptEnd, AnswerEnd> {
         var whole = false
         try {
-            return place
-                .place(attempt)
-                .flatMap { placement ->
-                    val source = if (placement.attach == null) prefill.prefill(attempt, placement) else Either.Right(null)
-                    source.flatMap { decode.decode(attempt, placement, it) }
-                }.onRight { whole = true }
+            val end = if (reserveFirst) reserveThenPrefill(attempt) else prefillThenReserve(attempt)
+            return end.onRight { whole = true }
         } catch (cancelled: CancellationException) {
             throw cancelled
         } finally {
@@ -109,6 +106,17 @@
         }
     }
 
+    private suspend fun reserveThenPrefill(attempt: ModelAttempt): Either<AttemptEnd, AnswerEnd> =
+        place.place(attempt).flatMap { placement ->
+            val source = if (placement.attach == null) prefill.prefill(attempt, placement) else Either.Right(null)
+            source.flatMap { decode.decode(attempt, placement, it) }
+        }
+
+    private suspend fun prefillThenReserve(attempt: ModelAttempt): Either<AttemptEnd, AnswerEnd> =
+        prefill.prefill(attempt, placement = null).flatMap { source ->
+            place.place(attempt).flatMap { decode.decode(attempt, it, source) }
+        }
+
     /** Takes up the stream that a caller names who comes back; null if its sidecar no longer has it. */
     private suspend fun resumed(run: Run): Outcome? {
         val resume = run.resume ?: return null
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
@@ -29,13 +29,13 @@
     private val candidates: CandidateList,
     private val sessions: SessionClient,
 ) {
-    /** Null means that the decode endpoint computes the prompt itself. */
+    /** Null means that the decode endpoint computes the prompt itself. [placement] is null if none is reserved yet. */
     suspend fun prefill(
         attempt: ModelAttempt,
-        placement: Placement,
+        placement: Placement?,
     ): Either<AttemptEnd, KvSource?> {
         val members = candidates.forModel(fleet.current().enginesFor(attempt.job.model, setOf(EndpointRole.PREFILL)), attempt.job)
-        if (decodesAlone(attempt.job, placement, members)) {
+        if (placement != null && decodesAlone(attempt.job, placement, members)) {
             trace(attempt, placement.member, "left to the decode endpoint", "short prompt or no prefill endpoint")
             return null.right()
         }
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/Main.kt
@@ -5,6 +5,7 @@
 import io.knapweedferry.testing.command.ServeCommand
 import io.knapweedferry.testing.command.StandInsCommand
 import io.knapweedferry.testing.load.LoadCommand
+import io.knapweedferry.testing.measure.MeasureCommand
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import kotlin.system.exitProcess
@@ -18,7 +19,7 @@
     // The library folder is shared with other programs, so the usual resource name could find the settings of another one.
     System.setProperty("tinylog.configuration", "tinylog-testbed.properties")
     val parser = ArgParser("knapweedferry-testbed")
-    parser.subcommands(StandInsCommand(), ProxyCommand(), DemoCommand(), ServeCommand(), LoadCommand())
+    parser.subcommands(StandInsCommand(), ProxyCommand(), DemoCommand(), ServeCommand(), LoadCommand(), MeasureCommand())
     try {
         parser.parse(arguments)
     } catch (e: IllegalArgumentException) {
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/measure/MeasureCommand.kt
@@ -0,0 +1,62 @@
+package io.knapweedferry.testing.measure
+
+import io.knapweedferry.testing.deploy.Deployments
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.multiple
+import java.nio.file.Files
+
+/** Compares routing policies with real daemons. Prints one line of JSON for each run and a table at the end. */
+@OptIn(ExperimentalCli::class)
+internal class MeasureCommand : Subcommand("measure", "Compare routing policies with real daemons under the same seeded load") {
+    /** Deployments to choose from. */
+    internal enum class Kind { MERRIMACK, ITO }
+
+    private val kind by option(ArgType.Choice<Kind>(), "deployment", description = "which deployment").default(Kind.MERRIMACK)
+    private val scenarios by option(
+        ArgType.Choice<MeasuredScenario>(),
+        "scenario",
+        description = "may be repeated; all if missing",
+    ).multiple()
+    private val policies by option(ArgType.Choice<MeasuredPolicy>(), "policy", description = "may be repeated; all if missing").multiple()
+    private val seed by option(ArgType.Int, "seed", description = "first seed").default(1)
+    private val runs by option(ArgType.Int, "runs", description = "seeds, each run once per policy").default(RUNS)
+    private val durationMs by option(ArgType.Int, "duration-ms", description = "length of a run").default(DURATION_MS)
+    private val prefill by option(ArgType.Int, "prefill", description = "prefill engines at most").default(PREFILL)
+    private val decode by option(ArgType.Int, "decode", description = "decode engines at most").default(DECODE)
+    private val entries by option(ArgType.Int, "entries", description = "entries").default(2)
+
+    override fun execute() {
+        val measured = scenarios.ifEmpty { MeasuredScenario.entries }.flatMap(::measure)
+        print(MeasureTable.render(measured))
+    }
+
+    private fun measure(scenario: MeasuredScenario): List<Measurement> =
+        List(runs) { seed.toLong() + it }.flatMap { runSeed ->
+            // Policies alternate within each seed, so that a busy phase of the machine meets both.
+            policies.ifEmpty { MeasuredPolicy.entries }.map { run(scenario, it, runSeed) }
+        }
+
+    private fun run(
+        scenario: MeasuredScenario,
+        policy: MeasuredPolicy,
+        runSeed: Long,
+    ): Measurement {
+        val whole = if (kind == Kind.MERRIMACK) Deployments.merrimack() else Deployments.ito()
+        val plan = MeasuredFleet(prefill, decode, entries).of(whole, policy)
+        val folder = Files.createTempDirectory("knapweedferry-measure")
+        val measurement = MeasureRun(kind.name.lowercase(), plan, policy, scenario).run(runSeed, durationMs.toLong(), folder)
+        println(measurement.toJson())
+        System.out.flush()
+        return measurement
+    }
+
+    private companion object {
+        const val RUNS = 3
+        const val DURATION_MS = 12_000
+        const val PREFILL = 2
+        const val DECODE = 3
+    }
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/measure/MeasuredFleet.kt
@@ -0,0 +1,30 @@
+package io.knapweedferry.testing.measure
+
+import io.knapweedferry.config.state.EndpointRole
+import io.knapweedferry.testing.deploy.DeploymentPlan
+
+/** Scales a deployment down to the size of a shared machine. */
+internal class MeasuredFleet(
+    private val prefillEngines: Int,
+    private val decodeEngines: Int,
+    private val entries: Int,
+) {
+    /** Returns [plan] with the first engines of each role and one service, under [policy]. */
+    fun of(
+        plan: DeploymentPlan,
+        policy: MeasuredPolicy,
+    ): DeploymentPlan =
+        plan.copy(
+            entries = entries,
+            engines = first(plan, EndpointRole.PREFILL, prefillEngines) + first(plan, EndpointRole.DECODE, decodeEngines),
+            services = plan.services.take(1),
+            entrySettings = policy.entrySettings,
+            sidecarSettings = policy.sidecarSettings,
+        )
+
+    private fun first(
+        plan: DeploymentPlan,
+        role: EndpointRole,
+        count: Int,
+    ) = plan.engines.filter { it.role == role }.take(count)
+}
--- /dev/null
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/measure/MeasuredLoad.kt
@@ -0,0 +1,87 @@
+package io.knapweedferry.testing.measure
+
+import io.knapweedferry.config.state.EndpointRole
+import io.knapweedferry.testing.deploy.DeploymentPlan
+import io.knapweedferry.testing.deploy.Deployments
+import io.knapweedferry.testing.load.LoadCapacity
+import io.knapweedferry.testing.load.LoadFlood
+import io.knapweedferry.testing.load.LoadOrganisation
+import io.knapweedferry.testing.load.LoadScenario
+import io.knapweedferry.testing.load.LoadTarget
+import io.knapweedferry.testing.load.LoadWork
+import io.knapweedferry.testing.load.TokenDistribution
+
+/**
+ * Load for a fleet, in proportion to its decode engines. At peak it fills about 94% of the decode capacity and 80% of the
+ * prefill capacity of two prefill and three decode stand-ins.
+ */
+internal class MeasuredLoad(
+    private val plan: DeploymentPlan,
+    private val entries: List<String>,
+) {
+    private val decodeEngines = plan.engines.filter { it.role == EndpointRole.DECODE }
+
+    /** Returns the load of one run. */
+    fun scenario(
+        scenario: MeasuredScenario,
+        seed: Long,
+        durationMs: Long,
+    ): LoadScenario {
+        val work = plan.policies.work.map { (kind, policy) -> work(kind.value, policy.rank.name.lowercase(), policy.model.value, scenario.load) }
+        val flooded = work.filter { it.rank == scenario.floodedRank }
+        return LoadScenario(
+            name = scenario.name.lowercase(),
+            seed = seed,
+            durationMs = durationMs,
+            entries = entries,
+            maxInFlight = MAX_IN_FLIGHT,
+            work = work,
+            organisations =
+                listOf(LoadOrganisation("harbor-office", Deployments.API_KEY), LoadOrganisation("school-sailing", Deployments.OTHER_API_KEY)),
+            targets =
+                plan.policies.ranks.map { (rank, policy) ->
+                    LoadTarget(rank.name.lowercase(), policy.firstTokenTargetMs.toDouble(), policy.interTokenTargetMs.toDouble())
+                },
+            floods = flooded.map { LoadFlood(it.name, FLOOD_FACTOR, startMs = 0, durationMs = durationMs) },
+            capacity = capacity(),
+        )
+    }
+
+    private fun work(
+        name: String,
+        rank: String,
+        model: String,
+        load: Double,
+    ) = LoadWork(
+        name = name,
+        rank = rank,
+        ratePerSecond = RATES_PER_DECODE_ENGINE.getValue(rank) * decodeEngines.size * load,
+        model = model,
+        promptTokens = TokenDistribution(median = 900, sigma = 0.7, smallest = 64, largest = 8_000),
+        answerTokens = TokenDistribution(median = 100, sigma = 0.5, smallest = 8, largest = 400),
+        sharedPrefixTokens = 300,
+        documents = 8,
+    )
+
+    /** What the stand-ins can do at best: full batches and no prefill on decode engines. */
+    private fun capacity(): LoadCapacity {
+        val scale = plan.timeScale
+        val prefillEngines = plan.engines.count { it.role == EndpointRole.PREFILL }
+        return LoadCapacity(
+            prefillTokensPerSecond = prefillEngines * MS_PER_SECOND * TOKENS_PER_UNIT / scale.prefillMsPer1000Tokens,
+            decodeTokensPerSecond =
+                decodeEngines.sumOf { it.slots * MS_PER_SECOND / (scale.baseTokenMs + scale.tokenMsPerStream * (it.slots - 1)) },
+        )
+    }
+
+    private companion object {
+        /** Requests a second at peak for each decode engine. */
+        val RATES_PER_DECODE_ENGINE = mapOf("urgent" to 4.0, "standard" to 3.6, "background" to 3.0)
+        const val FLOOD_FACTOR = 10.0
+
+        /** In a flood hundreds of requests wait; a wait inside the driver would count against the router. */
+        const val MAX_IN_FLIGHT = 1_500
+        const val MS_PER_SECOND = 1_000.0
+        const val TOKENS_PER_UNIT = 1_000.0
+    }
+}
