--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -83,6 +83,7 @@
             retries = retries,
             cancels = CancelNotifier(connections.scope, sessions),
             keepAliveMs = KEEP_ALIVE_MS,
+            reserveFirst = settings.placement.reserveFirst,
         )
 
     private fun servicePipeline() =
