--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
@@ -104,6 +104,7 @@
             voider = ClaimVoider(::appendVoid),
             scope = scope,
             counters = MeteredSidecar(metrics),
+            configOffers = follower::offer,
         )
     private val orders =
         EndpointOrders(
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Sidecar.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Sidecar.kt
@@ -3,9 +3,11 @@
 import io.knapweedferry.api.ProcessId
 import io.knapweedferry.api.Refusal
 import io.knapweedferry.api.RefusalReason
+import io.knapweedferry.api.Revision
 import io.knapweedferry.api.message.Attach
 import io.knapweedferry.api.message.Cancel
 import io.knapweedferry.api.message.ClaimQuery
+import io.knapweedferry.api.message.ConfigOffer
 import io.knapweedferry.api.message.ConfigPull
 import io.knapweedferry.api.message.Decode
 import io.knapweedferry.api.message.Describe
@@ -32,6 +34,8 @@
     scope: CoroutineScope,
     timeSource: TimeSource = TimeSource.Monotonic,
     counters: SidecarCounters = SidecarCounters.NONE,
+    /** Answers a peer that asks for a configuration newer than a revision. */
+    configOffers: (Revision) -> ConfigOffer = { ConfigOffer(Revision.NONE, Revision.NONE.value, null) },
 ) : ExchangeHandler {
     internal val context = SidecarContext(settings, config, MonotonicClock(timeSource), counters, scope)
     internal val endpoints = Endpoints(definitions, context, gates)
@@ -47,7 +51,7 @@
     private val cancel = CancelHandler()
     private val invoke = InvokeHandler(context, access, claims, replies)
     private val claimQuery = ClaimQueryHandler(context, claims, voider)
-    private val configPull = ConfigPullHandler(context)
+    private val configPull = ConfigPullHandler(configOffers)
 
     /** Work in progress at all endpoints. */
     public val inProgress: Int get() = endpoints.all.sumOf { it.state.count }
