--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
@@ -13,6 +13,8 @@
 import io.knapweedferry.platform.engine.HttpEngine
 import io.knapweedferry.platform.http.HttpTransport
 import io.knapweedferry.platform.instance.HttpInstanceList
+import io.knapweedferry.platform.instance.InstanceState
+import io.knapweedferry.platform.instance.ListedInstance
 import io.knapweedferry.platform.log.HttpAppendLog
 import io.knapweedferry.platform.service.HttpService
 import io.knapweedferry.policy.admission.AdmissionGate
@@ -43,6 +45,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration.Companion.milliseconds
 import io.knapweedferry.sidecar.server.SidecarSettings as ServerSettings
 
@@ -113,6 +116,7 @@
             targets = { TargetConfig(follower, it) },
         )
     private var server: SessionServer? = null
+    private val leaving = AtomicBoolean()
     private val http = settings.http.address?.let { SidecarHttp(it, { follower.current() != null }, metrics::scrape) }
 
     override val name: String get() = settings.process.id.value
@@ -131,9 +135,12 @@
         http?.start()
     }
 
+    /** Sessions are accepted until the end, because callers of work in progress may come back on new ones. */
     override suspend fun drain(timeoutMs: Long): Boolean =
         withTimeoutOrNull(timeoutMs.milliseconds) {
             sidecar.drain()
+            server?.stopAccepting()
+            server?.drain()
             true
         } ?: false
 
@@ -147,11 +154,19 @@
 
     private suspend fun followInstances() {
         while (true) {
-            instances.list().onRight { listed -> peers = listed.map { it.sessionAddress } - settings.session.address }
-            delay(PEER_REFRESH_MS.milliseconds)
+            instances.list().onRight(::listed)
+            delay(settings.platform.instancePollMs.milliseconds)
         }
     }
 
+    private fun listed(instances: List<ListedInstance>) {
+        val own = instances.firstOrNull { it.instance == settings.process.instance }
+        peers = instances.map { it.sessionAddress } - setOfNotNull(settings.session.address, own?.sessionAddress)
+        if (own?.state != InstanceState.LEAVING || !leaving.compareAndSet(false, true)) return
+        settings.endpoints.forEach { events.write(LogEvent.ENDPOINT_LEAVING, "endpoint" to it.id.value) }
+        sidecar.leave()
+    }
+
     private suspend fun appendVoid(claim: ClaimRef) =
         log
             .append(claim.stream, listOf(void(claim, settings.process.id)))
@@ -192,6 +207,5 @@
     private companion object {
         /** A prefill fills the engine's compute, so more at once would only delay each other. */
         const val PREFILL_SLOTS = 2
-        const val PEER_REFRESH_MS = 10_000L
     }
 }
