--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryParts.kt
@@ -66,6 +66,7 @@
             models = ModelsRoute(follower, authenticator),
             operator = operator,
             isReady = { follower.current() != null && fleet.isLoaded && !limit.isClosed },
+            isStopping = { limit.isClosed },
             scrape = metrics::scrape,
         )
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryServer.kt
@@ -9,6 +9,7 @@
 import io.knapweedferry.entry.http.ServiceRoute
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.util.concurrent.TimeUnit
 
 /** HTTP interface of an entry: callers, operators, health and metrics. */
 internal class EntryServer(
@@ -18,15 +19,22 @@
     private val models: ModelsRoute,
     private val operator: RouteGroup,
     private val isReady: () -> Boolean,
+    /** True once new requests are refused; responses then ask their callers to close the connection. */
+    private val isStopping: () -> Boolean,
     private val scrape: () -> String,
 ) {
+    private val connectors = mutableListOf<ServerConnector>()
     private val javalin = build()
 
     fun start() {
         javalin.start()
     }
 
+    /** Refuses connections first, so that no request arrives at a server that can no longer answer it. */
     fun stop() {
+        connectors.forEach { it.close() }
+        val end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONNECTIONS_END_MS)
+        while (connectors.any { it.connectedEndPoints.isNotEmpty() } && System.nanoTime() < end) Thread.sleep(POLL_MS)
         javalin.stop()
     }
 
@@ -39,8 +47,10 @@
             // Each request keeps one thread until its answer is written; the extra threads serve operators and health.
             config.jetty.threadPool = QueuedThreadPool(settings.maxInFlight + EXTRA_THREADS, MIN_THREADS)
             config.jetty.modifyServer { server ->
-                server.connectors.filterIsInstance<ServerConnector>().forEach { it.idleTimeout = settings.writeTimeoutMs }
+                connectors += server.connectors.filterIsInstance<ServerConnector>()
+                connectors.forEach { it.idleTimeout = settings.writeTimeoutMs }
             }
+            config.routes.before { if (isStopping()) it.header("Connection", "close") }
             config.routes.post("/v1/chat/completions", chat)
             config.routes.post("/v1/services/{service}/{operation}", services)
             config.routes.get("/v1/models", models)
@@ -58,6 +68,10 @@
     private companion object {
         const val EXTRA_THREADS = 16
         const val MIN_THREADS = 8
+
+        /** Time for answers in progress to be written and for callers to close idle connections. */
+        const val CONNECTIONS_END_MS = 1_000L
+        const val POLL_MS = 10L
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
         const val METRICS_TYPE = "text/plain; version=0.0.4"
--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/SilentLinkSpec.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/SilentLinkSpec.kt
@@ -13,7 +13,9 @@
 import org.junit.jupiter.params.provider.ValueSource
 import java.nio.file.Path
 import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 /** Guards against a stream that waits on a connection that has gone silent while new connections work. */
@@ -37,6 +39,7 @@
         val job = ChatJob("silent-$direction", TOKENS)
         val lastTokenAt = AtomicLong(System.nanoTime())
         val longestGap = AtomicLong()
+        val streaming = CountDownLatch(SILENT_AFTER)
         val pool = Executors.newSingleThreadExecutor()
         val answer =
             pool.submit(
@@ -45,10 +48,12 @@
                         val now = System.nanoTime()
                         if (count > 1) longestGap.accumulateAndGet(now - lastTokenAt.get(), ::maxOf)
                         lastTokenAt.set(now)
+                        streaming.countDown()
                     })
                 },
             )
         val engine = bed.decoderOf(job.requestId)
+        streaming.await(WAIT_SECONDS, TimeUnit.SECONDS)
         val body = """{"direction":"$direction","existing":true,"fraction":1.0,"new":false}"""
         bed.deployment.linkFault(engine, "silence", body)
         val result = answer.get()
@@ -63,6 +68,8 @@
 
     private companion object {
         const val TOKENS = 250
+        const val SILENT_AFTER = 30
+        const val WAIT_SECONDS = 10L
 
         /** Handshake, attach and scheduling on a busy machine. */
         const val RECONNECT_MS = 500L
