--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/DecodeStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/DecodeStage.kt
@@ -6,6 +6,8 @@
 import io.knapweedferry.api.FailureReason
 import io.knapweedferry.api.KvSource
 import io.knapweedferry.api.LeaseId
+import io.knapweedferry.api.Refusal
+import io.knapweedferry.api.RefusalReason
 import io.knapweedferry.api.RetryReason
 import io.knapweedferry.api.message.AnswerEnd
 import io.knapweedferry.api.message.Attach
@@ -162,10 +164,16 @@
     private fun StreamEnd.toAttemptEnd(): AttemptEnd =
         when (this) {
             is StreamEnd.Refused -> AttemptEnd.retryRefused(RetryReason.LEASE_LOST, refusal)
-            is StreamEnd.Lost -> AttemptEnd.retryFailed(RetryReason.SESSION_LOST, FailureReason.SESSION_LOST, detail)
+            is StreamEnd.Lost -> lostEnd(this)
             is StreamEnd.Failed -> AttemptEnd.retryFailed(retryReasonOf(reason), reason, detail)
         }
 
+    /** A request that never left this process is a refusal; after that the engine may have worked on it. */
+    private fun lostEnd(end: StreamEnd.Lost): AttemptEnd {
+        if (!end.neverSent) return AttemptEnd.retryFailed(RetryReason.SESSION_LOST, FailureReason.SESSION_LOST, end.detail)
+        return AttemptEnd.retryRefused(RetryReason.LEASE_LOST, Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, end.detail))
+    }
+
     private fun StreamEnd.neverSubmitted(): Boolean = this is StreamEnd.Refused || (this is StreamEnd.Lost && neverSent)
 
     private fun retryReasonOf(reason: FailureReason): RetryReason =
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/pipeline/PrefillStage.kt
@@ -76,7 +76,7 @@
                 loads.avoid(member.endpoint)
                 trace(attempt, member, "unreachable", error.message)
                 if (error !is SessionError.Lost) attempt.submitted = submittedBefore
-                failed(FailureReason.SESSION_LOST, error.message)
+                unanswered(error)
             },
             { message ->
                 when (message) {
@@ -93,6 +93,13 @@
         )
     }
 
+    /** A request that never left this process is a refusal; after that the engine may have worked on it. */
+    private fun unanswered(error: SessionError): Either<AttemptEnd, KvSource> {
+        if (error is SessionError.Lost) return failed(FailureReason.SESSION_LOST, error.message)
+        val refusal = Refusal(RefusalReason.ENDPOINT_UNAVAILABLE, error.message)
+        return AttemptEnd.retryRefused(RetryReason.REFUSED_BY_SIDECAR, refusal).left()
+    }
+
     private fun prefilled(
         attempt: ModelAttempt,
         member: FleetMember,
