Prove with real daemons that stamps run at most once

The follower accepted any peer text as a fold: a sidecar offers a ConfigState, which decodes to an empty fold with revision -1, and an entry that joined this way answered callers "unknown API key". The follower now drops a fold whose revision is not the offered one.

--- a/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFollower.kt
+++ b/knapweedferry-config/src/main/kotlin/io/knapweedferry/config/stream/ConfigFollower.kt
@@ -230,7 +230,8 @@
         val freezesSeen = freezeWatch.count
         val known = folds.value
         val offer = withTimeoutOrNull(settings.timeoutMs) { peers.pull(known?.revision ?: Revision.NONE) } ?: return
-        val fold = offer.stateJson?.let { RecordCodec.decodeFold(it) }
+        // All members of a fold have defaults, so a text of another kind decodes to an empty fold without a revision.
+        val fold = offer.stateJson?.let { RecordCodec.decodeFold(it) }?.takeIf { it.revision == offer.revision }
         if (fold != null && publish(fold)) listener(FollowerEvent.PulledFromPeer(fold.revision))
         // A peer without a configuration of its own says nothing about how old this one is.
         if (offer.revision > Revision.NONE) freezeWatch.answer(freezesSeen)
--- /dev/null
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/once/StampFault.kt
@@ -0,0 +1,59 @@
+package io.knapweedferry.it.once
+
+import io.knapweedferry.testing.deploy.LocalDeployment
+
+/** Faults that strike while tag stamps are under way. */
+internal enum class StampFault {
+    NONE,
+    ENTRY_KILLED,
+    ENTRY_FROZEN,
+    SIDECAR_KILLED,
+    SIDECAR_FROZEN,
+    SIDECAR_FROZEN_AND_REPLACED,
+    LINK_CUT,
+    LINK_SILENT,
+    APPEND_ANSWERS_LOST,
+    LOG_DOWN,
+    SERVICE_SILENT,
+    SERVICE_SILENT_AFTER_EFFECT,
+    ;
+
+    fun begin(
+        deployment: LocalDeployment,
+        entry: Int,
+        clerk: String,
+    ) {
+        when (this) {
+            NONE -> Unit
+            ENTRY_KILLED -> deployment.entries[entry].kill()
+            ENTRY_FROZEN -> deployment.entries[entry].freeze()
+            SIDECAR_KILLED -> deployment.sidecars.getValue(clerk).kill()
+            SIDECAR_FROZEN, SIDECAR_FROZEN_AND_REPLACED -> deployment.sidecars.getValue(clerk).freeze()
+            LINK_CUT -> deployment.linkFault(clerk, "cut")
+            LINK_SILENT -> deployment.linkFault(clerk, "silence", """{"new":true}""")
+            APPEND_ANSWERS_LOST -> deployment.standInFaults("log", """{"lostAnswerProbability":0.7}""")
+            LOG_DOWN -> deployment.standInFaults("log", """{"outage":"CUT"}""")
+            SERVICE_SILENT -> deployment.standInFaults(clerk, """{"outage":"SILENT"}""")
+            SERVICE_SILENT_AFTER_EFFECT -> deployment.standInFaults(clerk, """{"outageAfterEffect":"SILENT"}""")
+        }
+    }
+
+    fun end(
+        deployment: LocalDeployment,
+        entry: Int,
+        clerk: String,
+    ) {
+        val sidecar = deployment.sidecars.getValue(clerk)
+        when (this) {
+            NONE -> Unit
+            ENTRY_KILLED -> deployment.entries[entry].start().also { deployment.awaitReady(entry) }
+            ENTRY_FROZEN -> deployment.entries[entry].thaw()
+            SIDECAR_KILLED -> sidecar.start()
+            SIDECAR_FROZEN -> sidecar.thaw()
+            SIDECAR_FROZEN_AND_REPLACED -> sidecar.kill().also { sidecar.start() }
+            LINK_CUT, LINK_SILENT -> deployment.linkFault(clerk, "heal")
+            APPEND_ANSWERS_LOST, LOG_DOWN -> deployment.standInFaults("log", "{}")
+            SERVICE_SILENT, SERVICE_SILENT_AFTER_EFFECT -> deployment.standInFaults(clerk, "{}")
+        }
+    }
+}
--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/LocalDeployment.kt
@@ -48,6 +48,10 @@
             ManagedProcess("sidecar-$it", daemon.sidecar(files.sidecar(it)), folder.resolve("sidecar-$it.log"))
         }
 
+    /** A further sidecar with the settings of that of [endpoint], as a supervisor starts one that it takes for lost. */
+    public fun replacement(endpoint: String): ManagedProcess =
+        ManagedProcess("replacement-$endpoint", daemon.sidecar(files.sidecar(endpoint)), folder.resolve("replacement-$endpoint.log"))
+
     /** Base URL of an entry. */
     public fun entryUrl(index: Int): String = "http://${layout.entryAddress(index)}"
 
