--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/config/ConfigurationSpec.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/config/ConfigurationSpec.kt
@@ -80,9 +80,13 @@
         val url = deployment.entryUrl(1) + "/v1/chat/completions"
         assertEquals(200, Caller(organisation).post(url, CHAT).status)
         deployment.entries[1].freeze()
+        val frozenAt = System.nanoTime()
         val revision =
             try {
-                change(OrganisationPolicy(emptyList(), Rank.URGENT), entries = listOf(0))
+                // A process counts as frozen after a gap of two seconds; a shorter one is within the bound of a change.
+                change(OrganisationPolicy(emptyList(), Rank.URGENT), entries = listOf(0)).also {
+                    Waiting.until(2 * FREEZE_MS, { "freeze" }) { System.nanoTime() - frozenAt > FREEZE_MS * 1_000_000 }
+                }
             } finally {
                 deployment.entries[1].thaw()
             }
@@ -164,6 +168,7 @@
         val OTHER = OrganisationId("school-sailing")
         val CHAT = Caller.chat("loaner-note", "text", 3)
         const val ROUNDS = 4
+        const val FREEZE_MS = 3_000L
 
         /** Time in which a change must be in force everywhere. */
         const val IN_FORCE_MS = 18_000L
