Apply floors and the inter-token target when a configuration comes into force

Cause: the sidecar made its gates before any configuration existed, so a ranked gate ran without floors and without an inter-token target for its whole life. Change: the sidecar follows the accepted configuration and updates its gates.

--- a/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
+++ b/knapweedferry-daemon/src/main/kotlin/io/knapweedferry/daemon/process/SidecarProcess.kt
@@ -40,7 +40,9 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.distinctUntilChanged
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.mapNotNull
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration.Companion.milliseconds
@@ -126,6 +128,7 @@
         server = Sessions.server(sessionSettings, sidecar, settings.session.address)
         scope.launch { follower.run() }
         scope.launch { followInstances() }
+        scope.launch { followRanks() }
         sidecar.start()
         orders.start()
         http?.start()
@@ -178,15 +181,15 @@
         }
     }
 
-    private fun gate(limits: GateLimits): AdmissionGate {
-        if (settings.gate.policy == GatePolicyName.FIFO) return FifoGate(limits)
-        val ranks =
-            follower
-                .current()
-                ?.state
-                ?.ranks
-                .orEmpty()
-        return RankedGate(limits, RankedGateSettings(floorPercent = ranks.mapValues { it.value.floorPercent }))
+    /** The rules for ranks follow with the configuration, which is not there yet when the gates are made. */
+    private fun gate(limits: GateLimits): AdmissionGate =
+        if (settings.gate.policy == GatePolicyName.FIFO) FifoGate(limits) else RankedGate(limits, RankedGateSettings())
+
+    private suspend fun followRanks() {
+        follower.states
+            .mapNotNull { it?.accepted?.ranks }
+            .distinctUntilChanged()
+            .collect(sidecar::applyRanks)
     }
 
     private companion object {
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/AdmissionGate.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/AdmissionGate.kt
@@ -29,6 +29,13 @@
     /** Tells the gate how long a ticket held its capacity, for the forecast of waiting times. */
     public fun observeServiceMs(serviceMs: Double)
 
+    /** Applies the rules of a new configuration; holders keep their capacity. A gate without such rules does nothing. */
+    public fun update(
+        limits: GateLimits,
+        settings: RankedGateSettings,
+        nowMs: Long,
+    ): GateChanges = GateChanges()
+
     /** Current load. */
     public fun load(nowMs: Long): GateLoad
 }
--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/RankedGate.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/admission/RankedGate.kt
@@ -109,7 +109,7 @@
      * Applies new limits and settings. Holders keep their capacity, and what was learned about the concurrency limit is
      * kept unless the target changed.
      */
-    public fun update(
+    override fun update(
         limits: GateLimits,
         settings: RankedGateSettings,
         nowMs: Long,
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Endpoint.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Endpoint.kt
@@ -2,7 +2,9 @@
 
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.Rank
 import io.knapweedferry.config.state.EndpointAssignment
+import io.knapweedferry.config.state.RankPolicy
 
 /** An endpoint as the handlers see it. */
 internal sealed interface Endpoint {
@@ -11,6 +13,9 @@
 
     fun load(assignment: EndpointAssignment?): LoadDigest
 
+    /** Applies the rules for ranks of a new configuration to what waits and what comes. */
+    fun applyRanks(ranks: Map<Rank, RankPolicy>)
+
     /** Refuses what waits; called when the endpoint stops taking work. */
     fun refuseWaiting()
 
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EngineEndpoint.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/EngineEndpoint.kt
@@ -1,8 +1,10 @@
 package io.knapweedferry.sidecar.server
 
 import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.Rank
 import io.knapweedferry.config.state.EndpointAssignment
 import io.knapweedferry.config.state.EndpointRole
+import io.knapweedferry.config.state.RankPolicy
 
 /** A model engine with its decode and prefill capacity. */
 internal class EngineEndpoint(
@@ -21,6 +23,11 @@
     override fun load(assignment: EndpointAssignment?): LoadDigest =
         if (assignment?.role == EndpointRole.PREFILL) prefill.gate.load() else decode.gate.load()
 
+    override fun applyRanks(ranks: Map<Rank, RankPolicy>) {
+        decode.gate.update(definition.decodeLimits, RankRules.streaming(ranks))
+        prefill.gate.update(definition.prefillLimits, RankRules.plain(ranks))
+    }
+
     override fun refuseWaiting() {
         decode.gate.refuseWaiting(LEAVING)
         prefill.gate.refuseWaiting(LEAVING)
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/GateKeeper.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/GateKeeper.kt
@@ -8,6 +8,8 @@
 import io.knapweedferry.api.Refusal
 import io.knapweedferry.policy.admission.AdmissionGate
 import io.knapweedferry.policy.admission.GateChanges
+import io.knapweedferry.policy.admission.GateLimits
+import io.knapweedferry.policy.admission.RankedGateSettings
 import io.knapweedferry.policy.admission.Ticket
 import io.knapweedferry.policy.admission.TicketId
 import kotlinx.coroutines.CancellationException
@@ -58,6 +60,12 @@
             gate.release(id, now)
         }
 
+    /** Applies the rules of a new configuration. */
+    fun update(
+        limits: GateLimits,
+        settings: RankedGateSettings,
+    ) = change { gate.update(limits, settings, clock.nowMs()) }
+
     /** Refuses everything that waits; what holds capacity keeps it. */
     fun refuseWaiting(refusal: Refusal) {
         val refused =
--- /dev/null
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/RankRules.kt
@@ -0,0 +1,16 @@
+package io.knapweedferry.sidecar.server
+
+import io.knapweedferry.api.Rank
+import io.knapweedferry.config.state.RankPolicy
+import io.knapweedferry.policy.admission.RankedGateSettings
+
+/** Rules of an admission gate, taken from the ranks of a configuration. */
+internal object RankRules {
+    /** For work that streams tokens. All streams of a batch advance together, so the strictest target bounds the batch. */
+    fun streaming(ranks: Map<Rank, RankPolicy>): RankedGateSettings =
+        plain(ranks).copy(interTokenTargetMs = ranks.values.minOfOrNull { it.interTokenTargetMs }?.toDouble())
+
+    /** For prefills and service calls, which have no time between tokens. */
+    fun plain(ranks: Map<Rank, RankPolicy>): RankedGateSettings =
+        RankedGateSettings(floorPercent = ranks.mapValues { it.value.floorPercent })
+}
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/ServiceEndpoint.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/ServiceEndpoint.kt
@@ -1,7 +1,9 @@
 package io.knapweedferry.sidecar.server
 
 import io.knapweedferry.api.LoadDigest
+import io.knapweedferry.api.Rank
 import io.knapweedferry.config.state.EndpointAssignment
+import io.knapweedferry.config.state.RankPolicy
 
 /** A plain service. */
 internal class ServiceEndpoint(
@@ -16,6 +18,8 @@
 
     override fun load(assignment: EndpointAssignment?): LoadDigest = gate.load()
 
+    override fun applyRanks(ranks: Map<Rank, RankPolicy>) = gate.update(definition.limits, RankRules.plain(ranks))
+
     override fun refuseWaiting() = gate.refuseWaiting(LEAVING)
 
     override suspend fun cancel(key: WorkKey): Boolean = works.cancel(key) ?: false
--- a/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Sidecar.kt
+++ b/knapweedferry-sidecar/src/main/kotlin/io/knapweedferry/sidecar/server/Sidecar.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.sidecar.server
 
 import io.knapweedferry.api.ProcessId
+import io.knapweedferry.api.Rank
 import io.knapweedferry.api.Refusal
 import io.knapweedferry.api.RefusalReason
 import io.knapweedferry.api.message.Attach
@@ -15,6 +16,7 @@
 import io.knapweedferry.api.message.Release
 import io.knapweedferry.api.message.Reserve
 import io.knapweedferry.config.state.ConfigSource
+import io.knapweedferry.config.state.RankPolicy
 import io.knapweedferry.session.ExchangeHandler
 import io.knapweedferry.session.ReplySink
 import kotlinx.coroutines.CoroutineScope
@@ -57,6 +59,9 @@
         endpoints.engines.forEach { engine -> context.scope.launch { engine.cancelLeftovers() } }
     }
 
+    /** Applies the floors and targets of a configuration that came into force. */
+    public fun applyRanks(ranks: Map<Rank, RankPolicy>): Unit = endpoints.all.forEach { it.applyRanks(ranks) }
+
     /** Refuses all new work from now on; work in progress goes on. */
     public fun leave() {
         context.leaving = true
