Measure rollout until every sidecar reports the revision

The wait accepted an earlier revision, because changes without steps end it at once, so its times covered the confirmation alone.

--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/RolloutSlope.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/RolloutSlope.kt
@@ -7,9 +7,9 @@
 import io.knapweedferry.config.state.EndpointRole
 import io.knapweedferry.testing.deploy.Deployments
 import io.knapweedferry.testing.deploy.LocalDeployment
+import io.knapweedferry.testing.deploy.ManagedProcess
 import io.knapweedferry.testing.deploy.PlannedEngine
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import java.nio.file.Path
@@ -42,28 +42,48 @@
                 .getValue("id")
                 .jsonPrimitive.content
         var elapsedMs = 0L
+        val sidecars = deployment.sidecars.values.toList()
         val use =
-            ProcessUse.during(deployment.sidecars.values.toList()) {
+            ProcessUse.during(sidecars) {
                 val start = System.nanoTime()
                 deployment.operate(0, "/plans/$id/confirm", "")
-                deployment.entries.indices.forEach { deployment.awaitRollout(it) }
+                awaitInForce(sidecars, revision(deployment))
                 elapsedMs = (System.nanoTime() - start) / NANOS_PER_MS
             }
-        val steps =
-            Json
-                .parseToJsonElement(deployment.operate(0, "/status", null))
-                .jsonObject["steps"]
-                ?.jsonArray
-                ?.size
         println(
-            "${deployment.sidecars.size} sidecars, $steps steps: in force after $elapsedMs ms; " +
-                "per sidecar cpu ${use.sumOf { it.cpuMs } / use.size} ms, io ${use.sumOf { it.ioBytes } / use.size} B",
+            "${sidecars.size} sidecars: in force after $elapsedMs ms; " +
+                "per sidecar cpu ${use.sumOf { it.cpuMs } / use.size} ms, io ${use.sumOf { it.ioBytes } / use.size} B, " +
+                "largest io ${use.maxOf { it.ioBytes }} B",
         )
     }
 
+    private fun revision(deployment: LocalDeployment): String =
+        Json
+            .parseToJsonElement(deployment.operate(0, "/status", null))
+            .jsonObject
+            .getValue("revision")
+            .jsonPrimitive.content
+
+    /** Sidecars serve no HTTP by default, so their log line is what shows the revision in force. */
+    private fun awaitInForce(
+        sidecars: List<ManagedProcess>,
+        revision: String,
+    ) {
+        val line = Regex("KF-0201 .*revision=$revision\\s")
+        val deadline = System.nanoTime() + TIMEOUT_MS * NANOS_PER_MS
+        while (System.nanoTime() < deadline) {
+            if (sidecars.all { line.containsMatchIn(it.logText()) }) return
+            Thread.sleep(POLL_MS)
+        }
+        val missing = sidecars.filterNot { line.containsMatchIn(it.logText()) }.map { it.name }
+        error("revision $revision is not in force in $missing")
+    }
+
     private companion object {
         const val MODEL = "harbor-review"
         const val RUNS = 3
         const val NANOS_PER_MS = 1_000_000L
+        const val TIMEOUT_MS = 18_000L
+        const val POLL_MS = 5L
     }
 }
