--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/CapacityCommand.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/capacity/CapacityCommand.kt
@@ -49,17 +49,19 @@
     private fun requests(slope: RequestSlope) {
         // The first load is discarded, because it includes class loading and compilation.
         slope.measure(perSecond = 10, answerTokens = 10)
-        for (rate in listOf(5, 10, 20)) slope.measure(rate, answerTokens = 10)
+        for (rate in REQUESTS_PER_SECOND) slope.measure(rate, answerTokens = 10)
         slope.measure(perSecond = 10, answerTokens = 40)
     }
 
     private fun claims(slope: ClaimSlope) {
         // The first load is discarded, because it includes class loading and compilation.
-        for (callers in listOf(4, 4, 16, 64)) slope.measure(callers)
+        for (callers in CLAIM_CALLERS) slope.measure(callers)
     }
 
     private companion object {
         const val DEFAULT_SECONDS = 5
         val ROLLOUT_SIDECARS = listOf(4, 12, 24)
+        val REQUESTS_PER_SECOND = listOf(5, 10, 20)
+        val CLAIM_CALLERS = listOf(4, 4, 16, 64)
     }
 }
