--- a/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/DeploymentLayout.kt
+++ b/knapweedferry-testing/src/main/kotlin/io/knapweedferry/testing/deploy/DeploymentLayout.kt
@@ -15,8 +15,10 @@
 import io.knapweedferry.testing.standin.settings.StandInsSettings
 import io.knapweedferry.testing.standin.settings.WeightSettings
 import io.knapweedferry.testing.standin.settings.WeightStoreSettings
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
+import kotlin.random.Random
 
 /** Ports, instances and assignments of a deployment. */
 internal class DeploymentLayout(
@@ -88,14 +90,29 @@
             EndpointId(it.name) to EndpointAssignment(EndpointRole.SERVICE, service = ServiceName(it.service))
         }
 
-    /** Ports that were free a moment ago; all are held open together so that none is handed out twice. */
-    private fun freePorts(count: Int): List<Int> {
-        val sockets = List(count) { ServerSocket(0, 1, InetAddress.getByName(HOST)) }
-        return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
-    }
+    /**
+     * Ports that were free a moment ago. They lie below the range from which the system gives ports to connections, because
+     * one that another process was given in the meantime would keep a daemon from starting.
+     */
+    private fun freePorts(count: Int): List<Int> =
+        generateSequence { Random.nextInt(FIRST_PORT, LAST_PORT) }
+            .distinct()
+            .filter(::isFree)
+            .take(count)
+            .toList()
+
+    private fun isFree(port: Int): Boolean =
+        try {
+            ServerSocket(port, 1, InetAddress.getByName(HOST)).close()
+            true
+        } catch (_: IOException) {
+            false
+        }
 
     private companion object {
         const val HOST = "127.0.0.1"
+        const val FIRST_PORT = 15_000
+        const val LAST_PORT = 32_000
         const val WEIGHT_BYTES = 200_000_000L
     }
 }
