--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/WholePathSpec.kt
@@ -62,8 +62,8 @@
             "{\"messages\":[]}                                                          | 400 | malformed_request",
             "{\"model\":\"none\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}   | 404 | unknown_model",
             "{\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"metadata\":{\"work\":\"none\"}} | 400 | unknown_work",
-            "{\"model\":\"harbor-review\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"metadata\":{\"rank\":\"top\"}} | 400 | unknown_rank",
-            "{\"model\":\"harbor-review\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}],\"max_tokens\":1000000} | 413 | prompt_too_long",
+            "{\"model\":\"harbor-review\",$MESSAGES,\"metadata\":{\"rank\":\"top\"}}     | 400 | unknown_rank",
+            "{\"model\":\"harbor-review\",$MESSAGES,\"max_tokens\":1000000}             | 413 | prompt_too_long",
         ],
     )
     fun `bad input is a typed refusal`(
@@ -91,4 +91,8 @@
         entry: Int,
         path: String,
     ): String = deployment.entryUrl(entry) + path
+
+    private companion object {
+        const val MESSAGES = "\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]"
+    }
 }
--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/ChatCaller.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/ChatCaller.kt
@@ -92,28 +92,17 @@
         call: Call,
         onToken: (Int, Call) -> Unit,
     ): ChatResult {
-        val texts = mutableListOf<String>()
-        var lastId: String? = null
-        var end = End.SILENT_CUT
-        var detail = ""
+        val stream = EventStream(::textOf)
         try {
             val source = response.body.source()
-            while (true) {
-                val line = source.readUtf8Line() ?: break
-                when {
-                    line == "event: error" -> end = End.ERROR_EVENT
-                    line == "data: [DONE]" -> end = if (end == End.ERROR_EVENT) End.SILENT_CUT else End.WHOLE
-                    line.startsWith("id: ") -> lastId = line.removePrefix("id: ")
-                    line.startsWith("data: ") && end == End.ERROR_EVENT -> detail = line
-                    line.startsWith("data: ") -> textOf(line)?.let { texts += it }
-                }
-                if (line.isEmpty()) onToken(texts.size, call)
+            generateSequence { source.readUtf8Line() }.forEach { line ->
+                stream.accept(line)
+                if (line.isEmpty()) onToken(stream.texts.size, call)
             }
         } catch (broken: IOException) {
-            end = End.CONNECTION_BROKEN
-            detail = broken.toString()
+            stream.broke(broken)
         }
-        return ChatResult(end, texts, lastId, detail)
+        return stream.result()
     }
 
     private fun textOf(line: String): String? =
--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/ChatResult.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/ChatResult.kt
@@ -20,7 +20,8 @@
         val all = received + texts
         return when {
             all != job.expected.take(all.size) -> "${job.requestId}: foreign or repeated tokens, $this"
-            end == End.WHOLE && all.size != job.expected.size -> "${job.requestId}: ${all.size} of ${job.expected.size} tokens pass for whole"
+            end == End.WHOLE && all.size != job.expected.size ->
+                "${job.requestId}: ${all.size} of ${job.expected.size} tokens pass for whole"
             end == End.SILENT_CUT || end == End.CONNECTION_BROKEN -> "${job.requestId}: cut after ${all.size} tokens, $end $detail"
             else -> null
         }
--- a/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/WholeAnswerSpec.kt
+++ b/knapweedferry-it/src/test/kotlin/io/knapweedferry/it/streams/WholeAnswerSpec.kt
@@ -18,7 +18,10 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
-/** Guards against answers that are crossed, cut without an error, or contain a token twice when links, entries and engines fail (H2, H3). */
+/**
+ * Guards against answers that are crossed, cut without an error, or contain a token twice when links, entries and engines
+ * fail (H2, H3).
+ */
 @TestInstance(Lifecycle.PER_CLASS)
 internal class WholeAnswerSpec {
     private lateinit var bed: StreamBed
