--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -0,0 +1,114 @@
+package io.knapweedferry.routing
+
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.fleet.EndpointChooser
+import io.knapweedferry.routing.fleet.PeerLoads
+import io.knapweedferry.routing.fleet.RetryAllowances
+import io.knapweedferry.routing.http.CallerListener
+import io.knapweedferry.routing.model.RoutingViewHolder
+import io.knapweedferry.routing.ops.OperationsServer
+import io.knapweedferry.routing.pipeline.Attempts
+import io.knapweedferry.routing.pipeline.CallPipeline
+import io.knapweedferry.routing.pipeline.CallRecorder
+import io.knapweedferry.routing.pipeline.PlainForwarder
+import io.knapweedferry.routing.pipeline.StreamForwarder
+import io.knapweedferry.routing.upstream.EndpointPool
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+import io.knapweedferry.telemetry.RoutingMetrics
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.TimeUnit
+import kotlin.time.TimeSource
+
+/**
+ * An entry that routes requests by host and path to the endpoints in its view. Requests run on one event loop, which owns
+ * all book-keeping; followers of the platform publish views from their own threads.
+ */
+public class RoutedEntry(
+    private val settings: RoutedEntrySettings,
+    private val dialect: CallDialect,
+    private val views: RoutingViewHolder,
+    private val events: EventLog,
+    private val metrics: RoutingMetrics,
+) {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next().asCoroutineDispatcher()
+    private val failures =
+        CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
+    private val scope = CoroutineScope(SupervisorJob() + loop + failures)
+    private val pool = EndpointPool(group, dialect)
+    private val chooser = EndpointChooser(settings.zone, PeerLoads.NONE, TimeSource.Monotonic)
+    private val allowances = RetryAllowances(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
+    private val recorder = CallRecorder(events, metrics)
+    private val listener = CallerListener(group, scope, pipeline(), dialect, views, events, metrics)
+    private val operations = OperationsServer(settings, ::isReady, metrics::scrape)
+
+    @Volatile
+    private var stopping = false
+
+    private fun isReady() = !stopping && views.current.isComplete
+
+    private fun pipeline(): CallPipeline {
+        val attempts = Attempts(pool, chooser, dialect, scope)
+        val plain = PlainForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
+        val stream = StreamForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
+        return CallPipeline(views, plain, stream, allowances, dialect, recorder)
+    }
+
+    /** Starts listening. */
+    public fun start() {
+        listener.start(settings.callerAddress)
+        operations.start()
+        scope.launch { tidy() }
+    }
+
+    /** Forgets endpoints that have gone. */
+    private suspend fun tidy() {
+        while (true) {
+            delay(TIDY_MS)
+            val known = views.current.endpoints.keys
+            pool.retain(known)
+            chooser.retain(known)
+        }
+    }
+
+    /** Reports not ready, serves what still arrives, and waits until every request has its answer; false if time ran out. */
+    public suspend fun drain(): Boolean {
+        stopping = true
+        listener.beginStopping()
+        val drained =
+            withTimeoutOrNull(settings.drainTimeoutMs) {
+                delay(settings.rotationMs)
+                withContext(loop) { awaitIdle() }
+            }
+        return drained != null
+    }
+
+    private suspend fun awaitIdle() {
+        listener.closeIdle()
+        while (listener.busyConnections > 0) {
+            delay(DRAIN_POLL_MS)
+            listener.closeIdle()
+        }
+    }
+
+    /** Ends at once. */
+    public fun stop() {
+        operations.stop()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        const val TIDY_MS = 500L
+        const val DRAIN_POLL_MS = 20L
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -0,0 +1,22 @@
+package io.knapweedferry.routing.call
+
+/** What the headers of a request say about it. */
+public data class CallTraits(
+    /** Chosen by the caller; each attempt of a caller has its own. */
+    val requestId: String?,
+    /** Time that the caller waits for the answer. */
+    val deadlineMs: Long?,
+    /** Tokens of the prompt; 0 for plain services. */
+    val promptTokens: Int,
+    /** Upper bound of the tokens of the answer. */
+    val maxOutputTokens: Int,
+    /** Caller's estimate of the tokens of the answer. */
+    val expectedOutputTokens: Int?,
+    /** Parts that the prompt consists of, in order. */
+    val prefix: List<PrefixPart>,
+    /** Last event that the caller has of a stream that broke off. */
+    val lastEventId: String?,
+) {
+    /** KV cache that the whole run may occupy. */
+    val kvTokens: Int get() = promptTokens + maxOutputTokens
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/Choice.kt
@@ -0,0 +1,9 @@
+package io.knapweedferry.routing.fleet
+
+import io.knapweedferry.routing.model.RoutedEndpoint
+
+/** A chosen endpoint and the estimate that made it the cheapest. */
+internal data class Choice(
+    val endpoint: RoutedEndpoint,
+    val costMs: Double,
+)
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
@@ -0,0 +1,89 @@
+package io.knapweedferry.routing.fleet
+
+import io.knapweedferry.api.AvailabilityZone
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.policy.routing.EndpointCondition
+import io.knapweedferry.policy.routing.EndpointCost
+import io.knapweedferry.routing.call.CallTraits
+import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.model.EngineProfile
+import io.knapweedferry.routing.model.RoutedEndpoint
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/** Chooses endpoints by the estimated wait. Confined to the event loop. */
+internal class EndpointChooser(
+    private val zone: AvailabilityZone,
+    private val peers: PeerLoads,
+    private val timeSource: TimeSource,
+    private val random: Random = Random.Default,
+) {
+    private val ledgers = HashMap<EndpointId, EndpointLedger>()
+
+    fun ledger(id: EndpointId): EndpointLedger = ledgers.getOrPut(id) { EndpointLedger(timeSource) }
+
+    /** Forgets endpoints that are gone and have nothing in progress. */
+    fun retain(known: Set<EndpointId>) {
+        ledgers.entries.removeIf { it.key !in known && it.value.isIdle }
+    }
+
+    fun choosePlain(candidates: List<RoutedEndpoint>): Choice? = cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_USUAL_MS) }
+
+    /** Chooses an engine of [stage] for a whole run, or for its prefill only. */
+    fun chooseEngine(
+        candidates: List<RoutedEndpoint>,
+        stage: EndpointStage,
+        traits: CallTraits,
+        profile: EngineProfile,
+        isPromptRead: Boolean,
+    ): Choice? {
+        val unread = if (isPromptRead) 0 else traits.promptTokens
+        val rate = if (stage == EndpointStage.PREFILL) PREFILL_TOKENS_PER_MS else DECODE_READ_TOKENS_PER_MS
+        return cheapest(candidates.filter { it.stage == stage }) {
+            EndpointCost.engine(condition(it, profile.kvCapacityTokens), unread, traits.kvTokens, rate)
+        }
+    }
+
+    private inline fun cheapest(
+        candidates: List<RoutedEndpoint>,
+        cost: (RoutedEndpoint) -> Double,
+    ): Choice? {
+        var best: Choice? = null
+        candidates.forEach { endpoint ->
+            // The jitter keeps entries with the same view from choosing the same endpoint.
+            val jittered = cost(endpoint) * (1 + random.nextDouble(JITTER_SHARE)) + random.nextDouble(JITTER_MS)
+            if (best == null || jittered < best!!.costMs) best = Choice(endpoint, jittered)
+        }
+        return best
+    }
+
+    private fun condition(
+        endpoint: RoutedEndpoint,
+        kvCapacityTokens: Int,
+    ): EndpointCondition {
+        val ledger = ledger(endpoint.id)
+        return EndpointCondition(
+            load = ledger.load + peers.at(endpoint.id),
+            slots = endpoint.slots.coerceAtLeast(1),
+            kvCapacityTokens = kvCapacityTokens,
+            isSameZone = endpoint.zone == zone,
+            isAvoided = ledger.health.isAvoided(),
+            failureShare = ledger.health.failureShare(),
+            slowness = ledger.health.slowness(),
+            overdueMs = ledger.overdueMs,
+        )
+    }
+
+    companion object {
+        /** Typical time of a plain service's work; only ratios to it matter. */
+        const val PLAIN_USUAL_MS = 25.0
+
+        /** Rate at which the platform's engines read prompts in the prefill stage. */
+        const val PREFILL_TOKENS_PER_MS = 33.3
+
+        /** An engine in the decode stage reads prompts at half the rate. */
+        const val DECODE_READ_TOKENS_PER_MS = 16.7
+        private const val JITTER_SHARE = 0.1
+        private const val JITTER_MS = 2.0
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
@@ -0,0 +1,192 @@
+package io.knapweedferry.routing.http
+
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.call.CallRequest
+import io.knapweedferry.routing.model.CallerLimits
+import io.knapweedferry.routing.pipeline.CallPipeline
+import io.knapweedferry.routing.pipeline.LocalAnswer
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/**
+ * Connection of a caller. It goes on reading while a request is answered, because only a read shows that the caller has
+ * left; requests that arrive meanwhile wait for their turn. Confined to the event loop.
+ */
+internal class CallerConnection(
+    private val scope: CoroutineScope,
+    private val pipeline: CallPipeline,
+    private val dialect: CallDialect,
+    private val limits: CallerLimits,
+    private val memory: BodyMemory,
+    private val isStopping: () -> Boolean,
+    private val observer: CallerObserver,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private val waiting = ArrayDeque<QueuedCall>()
+    private var incoming: IncomingCall? = null
+    private var active: Job? = null
+    private var refused = false
+    private var quietSince: TimeMark = timeSource.markNow()
+    private var writable: CompletableDeferred<Unit>? = null
+
+    /** True while the caller waits for an answer or is sending a request. */
+    val isBusy: Boolean get() = active != null || waiting.isNotEmpty() || incoming != null
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        observer.opened(this)
+        ctx.fireChannelActive()
+    }
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (refused) return
+            if (message is HttpRequest) receiveHead(message)
+            if (message is HttpContent && !refused) receiveContent(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    /** Ends a connection that is idle or whose caller takes too long; called now and then. */
+    fun checkTimes() {
+        val quietMs = quietSince.elapsedNow().inWholeMilliseconds
+        if (incoming != null && quietMs > limits.headerTimeoutMs) return refuse(LocalAnswer.HEADER_TIMEOUT, "request is not complete")
+        if (!isBusy && quietMs > limits.idleTimeoutMs) context.close()
+    }
+
+    /** Ends the connection if no request was read from it. */
+    fun closeIfIdle() {
+        if (!isBusy) context.close()
+    }
+
+    fun close() {
+        context.close()
+    }
+
+    private fun receiveHead(request: HttpRequest) {
+        quietSince = timeSource.markNow()
+        val problem = RequestGuard.check(request, limits.maxBodyBytes)
+        if (problem != null) return refuse(problem, request.decoderResult().cause()?.message ?: "head of the request")
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+        incoming = IncomingCall(request, quietSince, memory, limits.maxBodyBytes)
+    }
+
+    private fun receiveContent(content: HttpContent) {
+        val call = incoming ?: return
+        if (content.decoderResult().isFailure) return refuse(LocalAnswer.MALFORMED, "body: ${content.decoderResult().cause()?.message}")
+        call.add(content.content())?.let { return refuse(it, "body of the request") }
+        quietSince = timeSource.markNow()
+        if (content is LastHttpContent) complete(call)
+    }
+
+    private fun complete(call: IncomingCall) {
+        incoming = null
+        val request = call.request
+        val host = request.headers().get(HttpHeaderNames.HOST).orEmpty()
+        val traits = dialect.readTraits(request.headers())
+        val proper = CallRequest(request.method(), request.uri(), host, request.headers(), call.body(), traits, call.arrived)
+        enqueue(QueuedCall.Proper(proper, call, HttpUtil.isKeepAlive(request)))
+    }
+
+    private fun refuse(
+        answer: LocalAnswer,
+        detail: String,
+    ) {
+        refused = true
+        incoming?.release()
+        incoming = null
+        enqueue(QueuedCall.Refused(answer, detail))
+    }
+
+    private fun enqueue(call: QueuedCall) {
+        waiting.addLast(call)
+        if (waiting.size >= MAX_WAITING) context.channel().config().isAutoRead = false
+        serveNext()
+    }
+
+    private fun serveNext() {
+        if (active != null || !context.channel().isActive) return
+        val next = waiting.removeFirstOrNull() ?: return
+        context.channel().config().isAutoRead = true
+        when (next) {
+            is QueuedCall.Refused -> refuseNow(next)
+            is QueuedCall.Proper -> active = scope.launch { serve(next) }
+        }
+    }
+
+    private fun refuseNow(next: QueuedCall.Refused) {
+        observer.refused(next.answer, next.detail)
+        NettyReply(context, null, null, { false }, {}).refuse(next.answer, null)
+    }
+
+    private suspend fun serve(next: QueuedCall.Proper) {
+        val id = next.call.traits.requestId?.let { dialect.requestIdHeader to it }
+        val reply = NettyReply(context, next.call.method, id, { next.keepsAlive && !isStopping() }, ::awaitWritable)
+        try {
+            pipeline.serve(next.call, reply)
+        } finally {
+            next.incoming.release()
+            active = null
+            quietSince = timeSource.markNow()
+        }
+        if (!reply.isFinished) return close()
+        serveNext()
+    }
+
+    private suspend fun awaitWritable() {
+        CompletableDeferred<Unit>().also { writable = it }.await()
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        if (!ctx.channel().isWritable) return
+        writable?.complete(Unit)
+        writable = null
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        active?.cancel()
+        incoming?.release()
+        waiting.filterIsInstance<QueuedCall.Proper>().forEach { it.incoming.release() }
+        waiting.clear()
+        observer.closed(this)
+    }
+
+    @Deprecated("Overrides a method that Netty's interface declares deprecated")
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        observer.failed(cause)
+        ctx.close()
+    }
+
+    private companion object {
+        /** Requests that a caller may send ahead; further ones wait in the socket. */
+        const val MAX_WAITING = 8
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
@@ -0,0 +1,111 @@
+package io.knapweedferry.routing.http
+
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.model.CallerLimits
+import io.knapweedferry.routing.model.RoutingViewHolder
+import io.knapweedferry.routing.pipeline.CallPipeline
+import io.knapweedferry.routing.pipeline.LocalAnswer
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+import io.knapweedferry.telemetry.RoutingMetrics
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CoroutineScope
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/** Accepts callers. All connections share one event loop, which also owns the book-keeping of the endpoints. */
+internal class CallerListener(
+    private val group: EventLoopGroup,
+    private val scope: CoroutineScope,
+    private val pipeline: CallPipeline,
+    private val dialect: CallDialect,
+    private val views: RoutingViewHolder,
+    private val events: EventLog,
+    private val metrics: RoutingMetrics,
+) : CallerObserver {
+    private val connections = LinkedHashSet<CallerConnection>()
+    private val memory = BodyMemory(MAX_BODY_MEMORY_BYTES)
+    private var server: Channel? = null
+
+    @Volatile
+    private var stopping = false
+
+    /** Requests that were read and have no whole answer yet. Read on the event loop. */
+    val busyConnections: Int get() = connections.count { it.isBusy }
+
+    fun start(address: InetSocketAddress) {
+        val bootstrap =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) = accept(channel)
+                    },
+                )
+        server = bootstrap.bind(address).sync().channel()
+        group.next().scheduleWithFixedDelay(
+            { connections.toList().forEach { it.checkTimes() } },
+            TIME_CHECK_MS,
+            TIME_CHECK_MS,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    private fun accept(channel: SocketChannel) {
+        val limits = views.current.table?.limits ?: CallerLimits.DEFAULT
+        val connection = CallerConnection(scope, pipeline, dialect, limits, memory, { stopping }, this)
+        channel.pipeline().addLast(RequestDecoder(limits.maxHeaderBytes), HttpResponseEncoder(), connection)
+    }
+
+    /** Asks callers to open their next connection elsewhere; every request that still arrives is served. */
+    fun beginStopping() {
+        stopping = true
+    }
+
+    /** Accepts no connection any more and ends those without a request. Call on the event loop. */
+    fun closeIdle() {
+        server?.close()
+        connections.toList().forEach { it.closeIfIdle() }
+    }
+
+    override fun opened(connection: CallerConnection) {
+        connections += connection
+        metrics.callerConnections(connections.size)
+    }
+
+    override fun closed(connection: CallerConnection) {
+        connections -= connection
+        metrics.callerConnections(connections.size)
+    }
+
+    override fun refused(
+        answer: LocalAnswer,
+        detail: String,
+    ) {
+        metrics.refused(answer.reason)
+        events.write(LogEvent.ROUTED_MALFORMED, "status" to answer.status, "reason" to answer.reason, "detail" to detail)
+    }
+
+    override fun failed(cause: Throwable) {
+        events.write(LogEvent.CALLER_CONNECTION_FAILED, "detail" to cause.toString())
+    }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val TIME_CHECK_MS = 250L
+
+        /** A small part of the smallest instance's memory; bodies have a few KB, single ones up to 4 MB. */
+        const val MAX_BODY_MEMORY_BYTES = 24L * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/IncomingCall.kt
@@ -0,0 +1,36 @@
+package io.knapweedferry.routing.http
+
+import io.knapweedferry.routing.pipeline.LocalAnswer
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpRequest
+import java.io.ByteArrayOutputStream
+import kotlin.time.TimeMark
+
+/** Request whose body is still arriving. */
+internal class IncomingCall(
+    val request: HttpRequest,
+    val arrived: TimeMark,
+    private val memory: BodyMemory,
+    private val maxBodyBytes: Int,
+) {
+    private val bytes = ByteArrayOutputStream()
+    private var reservedBytes = 0
+
+    /** Adds a piece of the body; the answer says why it cannot be taken. */
+    fun add(content: ByteBuf): LocalAnswer? {
+        val size = content.readableBytes()
+        if (bytes.size() + size > maxBodyBytes) return LocalAnswer.BODY_TOO_LARGE
+        if (!memory.reserve(size)) return LocalAnswer.ENTRY_FULL
+        reservedBytes += size
+        content.readBytes(bytes, size)
+        return null
+    }
+
+    fun body(): ByteArray = bytes.toByteArray()
+
+    /** Gives the memory back once the request has its answer. */
+    fun release() {
+        memory.release(reservedBytes)
+        reservedBytes = 0
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
@@ -0,0 +1,105 @@
+package io.knapweedferry.routing.http
+
+import io.knapweedferry.routing.pipeline.CallerReply
+import io.knapweedferry.routing.pipeline.LocalAnswer
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+
+/** Writes one answer to a caller's connection. Confined to the event loop. */
+internal class NettyReply(
+    private val context: ChannelHandlerContext,
+    private val method: HttpMethod?,
+    private val requestId: Pair<String, String>?,
+    /** False if the connection ends with this answer. */
+    private val keepsAlive: () -> Boolean,
+    private val awaitWritable: suspend () -> Unit,
+) : CallerReply {
+    override var hasBegun = false
+        private set
+
+    /** True once the whole answer was written. */
+    var isFinished = false
+        private set
+
+    private var closesAfter = false
+
+    override fun deliver(
+        status: Int,
+        headers: HttpHeaders,
+        body: ByteArray,
+    ) {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body))
+        response.headers().add(headers)
+        if (method != HttpMethod.HEAD) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        writeLast(response)
+    }
+
+    override fun refuse(
+        answer: LocalAnswer,
+        retryAfterMs: Long?,
+    ) {
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, PROBLEM_TYPE)
+        requestId?.let { (name, value) -> headers.set(name, value) }
+        retryAfterMs?.let { headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it / MS_PER_SECOND)) }
+        val body = """{"title":"${answer.reason}","status":${answer.status},"detail":"${answer.remedy}"}"""
+        deliver(answer.status, headers, body.encodeToByteArray())
+    }
+
+    override fun begin(
+        status: Int,
+        headers: HttpHeaders,
+    ) {
+        hasBegun = true
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().add(headers)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        noteConnection(response)
+        context.writeAndFlush(response)
+    }
+
+    override suspend fun write(bytes: ByteArray) {
+        context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (!context.channel().isWritable) awaitWritable()
+    }
+
+    override fun finish() {
+        isFinished = true
+        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (closesAfter) written.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    override fun abort() {
+        context.close()
+    }
+
+    private fun writeLast(response: DefaultFullHttpResponse) {
+        hasBegun = true
+        isFinished = true
+        noteConnection(response)
+        val written = context.writeAndFlush(response)
+        if (closesAfter) written.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun noteConnection(response: HttpResponse) {
+        closesAfter = !keepsAlive()
+        if (closesAfter) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private companion object {
+        const val PROBLEM_TYPE = "application/problem+json"
+        const val MS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/RouteTable.kt
@@ -0,0 +1,31 @@
+package io.knapweedferry.routing.model
+
+import io.knapweedferry.api.ServiceName
+
+/** One version of the routing configuration. Immutable, so that a request sees one version from start to end. */
+public class RouteTable(
+    public val version: Long,
+    routes: List<Route>,
+    services: List<ServiceProfile>,
+    public val limits: CallerLimits,
+) {
+    /** Longest prefix first, so that the first match is the most specific one. */
+    private val byHost: Map<String, List<Route>> =
+        routes.groupBy { it.host.lowercase() }.mapValues { (_, found) -> found.sortedByDescending { it.pathPrefix.length } }
+
+    private val services: Map<ServiceName, ServiceProfile> = services.associateBy { it.name }
+
+    public val routeCount: Int = routes.size
+
+    /** The most specific route for a host, with or without a port, and a path, with or without a query. */
+    public fun find(
+        host: String,
+        target: String,
+    ): Route? {
+        val path = target.substringBefore('?')
+        val name = host.substringBefore(':').lowercase()
+        return byHost[name]?.firstOrNull { path.startsWith(it.pathPrefix) }
+    }
+
+    public fun service(name: ServiceName): ServiceProfile? = services[name]
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/RoutingViewHolder.kt
@@ -0,0 +1,77 @@
+package io.knapweedferry.routing.model
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Publishes views by read-copy-update: followers of the platform replace the view, requests read it without a lock. A
+ * configuration is replaced by a higher version only, so that no request sees an older one after a newer one.
+ */
+public class RoutingViewHolder(
+    private val events: EventLog,
+) {
+    private val view = AtomicReference(RoutingView.EMPTY)
+
+    public val current: RoutingView get() = view.get()
+
+    /** Puts [table] into force unless a version as high is in force already. */
+    public fun offer(
+        table: RouteTable,
+        source: String,
+    ) {
+        var replaced = false
+        val before =
+            view.getAndUpdate { old ->
+                replaced = table.version > (old.table?.version ?: Long.MIN_VALUE)
+                if (replaced) RoutingView(table, old.endpoints, old.fleetVersion, old.hasFleet) else old
+            }
+        val event =
+            when {
+                !replaced -> LogEvent.CONFIG_OLDER_IGNORED
+                before.table == null -> LogEvent.CONFIG_FIRST
+                else -> LogEvent.CONFIG_APPLIED
+            }
+        events.write(event, "version" to table.version, "former" to before.table?.version, "routes" to table.routeCount, "source" to source)
+    }
+
+    /** Replaces the known endpoints. */
+    public fun replaceFleet(
+        endpoints: Map<EndpointId, RoutedEndpoint>,
+        fleetVersion: Long,
+    ) {
+        val before = view.getAndUpdate { RoutingView(it.table, endpoints, fleetVersion, true) }
+        logChanges(before.endpoints, endpoints, fleetVersion)
+    }
+
+    private fun logChanges(
+        before: Map<EndpointId, RoutedEndpoint>,
+        after: Map<EndpointId, RoutedEndpoint>,
+        fleetVersion: Long,
+    ) {
+        after.values.forEach { endpoint ->
+            val former = before[endpoint.id]
+            val event =
+                when {
+                    endpoint.isLeaving && former?.isLeaving != true -> LogEvent.ENDPOINT_LEAVING
+                    former == null || former.bornMs != endpoint.bornMs -> LogEvent.ENDPOINT_FOUND
+                    else -> null
+                }
+            event?.let { events.write(it, *fields(endpoint, fleetVersion)) }
+        }
+        (before - after.keys).values.forEach { events.write(LogEvent.ENDPOINT_GONE, *fields(it, fleetVersion)) }
+    }
+
+    private fun fields(
+        endpoint: RoutedEndpoint,
+        fleetVersion: Long,
+    ): Array<Pair<String, Any?>> =
+        arrayOf(
+            "endpoint" to endpoint.id.value,
+            "service" to endpoint.service.value,
+            "address" to "${endpoint.address.hostString}:${endpoint.address.port}",
+            "stage" to endpoint.stage,
+            "fleet_version" to fleetVersion,
+        )
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
@@ -0,0 +1,124 @@
+package io.knapweedferry.routing.pipeline
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.routing.call.AttemptTerms
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.call.CallRequest
+import io.knapweedferry.routing.fleet.Choice
+import io.knapweedferry.routing.fleet.EndpointChooser
+import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.routing.upstream.AnswerPart
+import io.knapweedferry.routing.upstream.AttemptFailure
+import io.knapweedferry.routing.upstream.EndpointPool
+import io.knapweedferry.routing.upstream.OutboundRequest
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+
+/** Sends requests to single endpoints and keeps account of them. */
+internal class Attempts(
+    private val pool: EndpointPool,
+    private val chooser: EndpointChooser,
+    private val dialect: CallDialect,
+    private val scope: CoroutineScope,
+) {
+    /** Opens an attempt at the chosen endpoint; whoever opened it must close it. */
+    suspend fun open(
+        record: CallRecord,
+        choice: Choice,
+        terms: AttemptTerms,
+        plan: AttemptPlan,
+    ): Either<AttemptFailure, Attempt> {
+        val endpoint = choice.endpoint
+        val ledger = chooser.ledger(endpoint.id)
+        val entry = ledger.begin(plan.kvTokens, plan.unreadTokens, plan.usualMs)
+        var opened = false
+        try {
+            val connected = pool.acquire(endpoint, plan.maxIdleMs)
+            return connected
+                .onLeft {
+                    ledger.health.unreachable()
+                    record.note("unreachable:${endpoint.id.value}")
+                }.map { connection ->
+                    val answer = connection.send(outbound(record.call, endpoint, terms))
+                    record.noteSent(choice, terms)
+                    opened = true
+                    Attempt(endpoint, entry, ledger.health, connection, answer, dialect)
+                }
+        } finally {
+            if (!opened) entry.end()
+        }
+    }
+
+    /** Runs an attempt whose whole answer is wanted. */
+    suspend fun whole(
+        record: CallRecord,
+        choice: Choice,
+        terms: AttemptTerms,
+        plan: AttemptPlan,
+    ): Either<AttemptFailure, WholeAnswer> =
+        open(record, choice, terms, plan).flatMap { attempt ->
+            attempt.use { it.head().flatMap { head -> readBody(it).map { body -> WholeAnswer(head.status, head.headers, body) } } }
+        }
+
+    /** Frees a KV cache that no decode will fetch; nothing waits for the answer. */
+    fun releaseKv(
+        endpoint: RoutedEndpoint,
+        handle: String,
+    ) {
+        val (method, path) = dialect.releaseKv(handle)
+        scope.launch { withTimeoutOrNull(RELEASE_TIMEOUT_MS) { release(endpoint, method, path) } }
+    }
+
+    private suspend fun release(
+        endpoint: RoutedEndpoint,
+        method: HttpMethod,
+        path: String,
+    ) {
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.HOST, endpoint.hostHeader())
+        pool.acquire(endpoint, Long.MAX_VALUE).onRight { it.send(OutboundRequest(method, path, headers, ByteArray(0), null)).head() }
+    }
+
+    private suspend fun readBody(attempt: Attempt): Either<AttemptFailure, ByteArray> {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = attempt.next()) {
+                is AnswerPart.Data -> body.write(part.bytes)
+                is AnswerPart.Broken -> return AttemptFailure.Unanswered(part.detail).left()
+                AnswerPart.End -> return body.toByteArray().right()
+            }
+            if (body.size() > MAX_WHOLE_ANSWER_BYTES) {
+                return AttemptFailure.Unanswered("answer exceeds $MAX_WHOLE_ANSWER_BYTES bytes").left()
+            }
+        }
+    }
+
+    private fun outbound(
+        call: CallRequest,
+        endpoint: RoutedEndpoint,
+        terms: AttemptTerms,
+    ): OutboundRequest {
+        val headers = dialect.endpointHeaders(call, terms)
+        if (call.body.isNotEmpty() || call.method == HttpMethod.POST || call.method == HttpMethod.PUT) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
+        }
+        if (!headers.contains(HttpHeaderNames.HOST)) headers.set(HttpHeaderNames.HOST, endpoint.hostHeader())
+        return OutboundRequest(call.method, call.target, headers, call.body, call.traits.requestId)
+    }
+
+    private fun RoutedEndpoint.hostHeader() = "${address.hostString}:${address.port}"
+
+    private companion object {
+        const val RELEASE_TIMEOUT_MS = 1_000L
+
+        /** Bounds the memory of one answer of a plain service; the usual ones have a few KB. */
+        const val MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -0,0 +1,90 @@
+package io.knapweedferry.routing.pipeline
+
+import io.knapweedferry.api.ServiceName
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.call.CallRequest
+import io.knapweedferry.routing.fleet.RetryAllowances
+import io.knapweedferry.routing.model.Route
+import io.knapweedferry.routing.model.RoutingView
+import io.knapweedferry.routing.model.RoutingViewHolder
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
+
+/** Chain of filters of one request: find its route, bound its time, forward it by kind, record what happened. */
+internal class CallPipeline(
+    private val views: RoutingViewHolder,
+    private val plain: PlainForwarder,
+    private val stream: StreamForwarder,
+    private val allowances: RetryAllowances,
+    private val dialect: CallDialect,
+    private val recorder: CallRecorder,
+    private val random: Random = Random.Default,
+) {
+    suspend fun serve(
+        call: CallRequest,
+        reply: CallerReply,
+    ) {
+        val view = views.current
+        val record = CallRecord(call, view)
+        try {
+            val job = route(record, view, reply) ?: return
+            allowances.of(job.service.name).recordRequest()
+            withTimeoutOrNull(job.remainingMs) { forward(job) } ?: expire(job)
+        } catch (cancelled: CancellationException) {
+            // Cancelled only when the connection of the caller has closed.
+            recorder.callerGone(record)
+            throw cancelled
+        }
+        currentCoroutineContext().ensureActive()
+    }
+
+    /** Null if the request was refused. */
+    private fun route(
+        record: CallRecord,
+        view: RoutingView,
+        reply: CallerReply,
+    ): ForwardingJob? {
+        val table = view.table ?: return refuse(record, reply, LocalAnswer.NOT_READY)
+        val route = table.find(record.call.host, record.call.target) ?: return refuse(record, reply, LocalAnswer.NO_ROUTE)
+        record.route = route
+        val service = table.service(pickTarget(route)) ?: return refuse(record, reply, LocalAnswer.NO_ENDPOINT)
+        return ForwardingJob(record, route, service, reply, dialect, recorder)
+    }
+
+    private fun refuse(
+        record: CallRecord,
+        reply: CallerReply,
+        answer: LocalAnswer,
+    ): ForwardingJob? {
+        reply.refuse(answer, if (answer.promisesNotRun) NOT_READY_RETRY_MS else null)
+        recorder.refused(record, answer)
+        return null
+    }
+
+    private fun pickTarget(route: Route): ServiceName {
+        val total = route.targets.sumOf { it.weight }
+        var point = random.nextDouble() * total
+        return (route.targets.firstOrNull { target -> (point - target.weight).also { point = it } < 0 } ?: route.targets.last()).service
+    }
+
+    private suspend fun forward(job: ForwardingJob) {
+        // Read again for each attempt, so that an endpoint that began to leave meanwhile gets no retry.
+        val candidates = { views.current.serving(job.service.name) }
+        val engine = job.service.engine
+        if (engine == null) plain.forward(job, candidates) else stream.forward(job, engine, candidates)
+    }
+
+    private fun expire(job: ForwardingJob) {
+        if (!job.reply.hasBegun) return job.refuse(if (job.record.mayHaveRun) LocalAnswer.TIMED_OUT else LocalAnswer.EXPIRED_UNSENT)
+        job.reply.abort()
+        recorder.cut(job.record, "timeout")
+    }
+
+    private companion object {
+        /** Another entry, or this one a moment later, has a configuration. */
+        const val NOT_READY_RETRY_MS = 150L
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
@@ -0,0 +1,64 @@
+package io.knapweedferry.routing.pipeline
+
+import io.knapweedferry.routing.call.AttemptTerms
+import io.knapweedferry.routing.call.CallRequest
+import io.knapweedferry.routing.fleet.Choice
+import io.knapweedferry.routing.model.Route
+import io.knapweedferry.routing.model.RoutingView
+
+/** Decisions about one request, for the log and the metrics. */
+internal class CallRecord(
+    val call: CallRequest,
+    val view: RoutingView,
+) {
+    var route: Route? = null
+
+    /** Endpoints that were sent the request, without those that only read its prompt. */
+    var sentCount = 0
+        private set
+
+    var firstByteMs: Long? = null
+        private set
+
+    private val steps = StringBuilder()
+
+    /** One word per decision, with the endpoint and the time since arrival. */
+    val trace: String get() = steps.toString()
+
+    /** True if an endpoint may have run the request, or may still run it. */
+    var mayHaveRun = false
+        private set
+
+    fun noteSent(
+        choice: Choice,
+        terms: AttemptTerms,
+    ) {
+        if (!terms.isPrefill) {
+            sentCount++
+            mayHaveRun = true
+        }
+        val step = if (terms.isPrefill) "prefill" else "send"
+        note("$step>${choice.endpoint.id.value}~${choice.costMs.toInt()}")
+    }
+
+    /** The endpoint of the last attempt stated that it did not run the request; earlier attempts are [settled] or not. */
+    fun noteNotRun(settled: Boolean) {
+        mayHaveRun = !settled
+        note("not_run")
+    }
+
+    fun note(step: String) {
+        if (steps.length > MAX_TRACE_CHARS) return
+        if (steps.isNotEmpty()) steps.append(' ')
+        steps.append(step).append('@').append(call.elapsedMs)
+    }
+
+    fun noteFirstByte() {
+        if (firstByteMs == null) firstByteMs = call.elapsedMs
+    }
+
+    private companion object {
+        /** Keeps a log line short even if a request was resumed many times. */
+        const val MAX_TRACE_CHARS = 600
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
@@ -0,0 +1,69 @@
+package io.knapweedferry.routing.pipeline
+
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
+import io.knapweedferry.telemetry.RoutingMetrics
+
+/** Last filter: writes one log line per request, with what the decisions were based on, and counts its outcome. */
+internal class CallRecorder(
+    private val events: EventLog,
+    private val metrics: RoutingMetrics,
+) {
+    fun delivered(
+        record: CallRecord,
+        status: Int,
+    ) {
+        metrics.delivered(record.route?.rank, status, record.call.elapsedMs, record.firstByteMs)
+        write(LogEvent.ROUTED_DELIVERED, record, "status" to status)
+    }
+
+    fun refused(
+        record: CallRecord,
+        answer: LocalAnswer,
+    ) {
+        metrics.refused(answer.reason)
+        val event = if (answer.promisesNotRun) LogEvent.ROUTED_NOT_RUN else LogEvent.ROUTED_FAILED
+        write(event, record, "status" to answer.status, "reason" to answer.reason)
+    }
+
+    /** The connection was ended in the middle of an answer. */
+    fun cut(
+        record: CallRecord,
+        reason: String,
+    ) {
+        metrics.refused("cut_$reason")
+        write(LogEvent.ROUTED_CUT, record, "reason" to reason)
+    }
+
+    fun callerGone(record: CallRecord) {
+        metrics.callerGone()
+        write(LogEvent.CALLER_GONE, record)
+    }
+
+    fun retried(
+        record: CallRecord,
+        reason: String,
+    ) {
+        metrics.retried(reason)
+        record.note("retry:$reason")
+    }
+
+    private fun write(
+        event: LogEvent,
+        record: CallRecord,
+        vararg fields: Pair<String, Any?>,
+    ) {
+        events.write(
+            event,
+            "request" to record.call.traits.requestId,
+            "route" to record.route?.name,
+            "priority" to record.route?.priority,
+            "config_version" to record.view.table?.version,
+            "fleet_version" to record.view.fleetVersion,
+            "steps" to record.trace,
+            "first_byte_ms" to record.firstByteMs,
+            "elapsed_ms" to record.call.elapsedMs,
+            *fields,
+        )
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -0,0 +1,51 @@
+package io.knapweedferry.routing.pipeline
+
+import io.knapweedferry.routing.call.AttemptTerms
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.call.CallRequest
+import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.routing.model.Route
+import io.knapweedferry.routing.model.ServiceProfile
+import kotlin.math.max
+import kotlin.math.min
+
+/** One request on its way to a service, and the way back to its caller. */
+internal class ForwardingJob(
+    val record: CallRecord,
+    val route: Route,
+    val service: ServiceProfile,
+    val reply: CallerReply,
+    private val dialect: CallDialect,
+    private val recorder: CallRecorder,
+) {
+    val call: CallRequest get() = record.call
+
+    /** Time until the caller has left or the route's timeout is over. */
+    val remainingMs: Long get() = max(0, allowedMs - call.elapsedMs)
+
+    private val allowedMs: Long get() = min(route.timeoutMs, call.traits.deadlineMs ?: Long.MAX_VALUE)
+
+    fun terms(endpoint: RoutedEndpoint): AttemptTerms =
+        AttemptTerms(endpoint = endpoint.id, remainingMs = remainingMs, priority = route.priority, lastEventId = call.traits.lastEventId)
+
+    fun deliver(answer: WholeAnswer) {
+        record.noteFirstByte()
+        reply.deliver(answer.status, dialect.callerHeaders(answer.headers), answer.body)
+        recorder.delivered(record, answer.status)
+    }
+
+    /** Gives the final answer at once; a caller whose request did not run is told when to come back. */
+    fun refuse(answer: LocalAnswer) {
+        reply.refuse(answer, if (answer.promisesNotRun) retryAfterMs() else null)
+        recorder.refused(record, answer)
+    }
+
+    /** Callers wait for up to a third of the time that they have left. */
+    private fun retryAfterMs(): Long = min(route.targetLatencyMs / 2, remainingMs / 4).coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+
+    private companion object {
+        /** Below the time that an endpoint needs to finish one request, a repeat finds the same situation. */
+        const val MIN_RETRY_AFTER_MS = 40L
+        const val MAX_RETRY_AFTER_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalAnswer.kt
@@ -0,0 +1,32 @@
+package io.knapweedferry.routing.pipeline
+
+/** Answers that the router gives itself. Statuses 408, 421, 429 and 503 are given only for requests that did not run. */
+public enum class LocalAnswer(
+    public val status: Int,
+    /** Value of the metric label and of the log field. */
+    public val reason: String,
+    /** What the caller may do. */
+    public val remedy: String,
+) {
+    MALFORMED(400, "malformed", "send a request that follows HTTP/1.1"),
+    NO_ROUTE(404, "no_route", "use a host and path that the configuration names"),
+    HEADER_TIMEOUT(408, "header_timeout", "send the whole request sooner"),
+    BODY_TOO_LARGE(413, "body_too_large", "send a smaller body"),
+    HEADER_TOO_LARGE(431, "header_too_large", "send fewer or shorter headers"),
+    ANSWER_LOST(502, "answer_lost", "find out whether the request took effect before repeating it"),
+    NOT_READY(503, "not_ready", "repeat the request; this entry has no configuration yet"),
+    NO_ENDPOINT(503, "no_endpoint", "repeat the request later; the service has no endpoint that takes work"),
+    ENDPOINTS_FULL(503, "endpoints_full", "repeat the request later; it has not run"),
+    ENTRY_FULL(503, "entry_full", "repeat the request at another entry; it has not run"),
+    EXPIRED_UNSENT(503, "expired_unsent", "repeat the request with a longer deadline; it has not run"),
+    TIMED_OUT(504, "timed_out", "find out whether the request took effect before repeating it"),
+    ;
+
+    /** True if the answer promises that the request did not run. */
+    public val promisesNotRun: Boolean get() = status == STATUS_UNAVAILABLE || status == STATUS_REQUEST_TIMEOUT
+
+    private companion object {
+        const val STATUS_UNAVAILABLE = 503
+        const val STATUS_REQUEST_TIMEOUT = 408
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -0,0 +1,233 @@
+package io.knapweedferry.routing.pipeline
+
+import arrow.core.Either
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.routing.call.AttemptTerms
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.call.KvSourceRef
+import io.knapweedferry.routing.fleet.Choice
+import io.knapweedferry.routing.fleet.EndpointChooser
+import io.knapweedferry.routing.fleet.RetryAllowances
+import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.model.EngineProfile
+import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.routing.upstream.AnswerHead
+import io.knapweedferry.routing.upstream.AnswerPart
+import io.knapweedferry.routing.upstream.AttemptFailure
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+
+/**
+ * Forwards model requests, whose answers are streams of events. A prompt is read by an engine of the prefill stage where
+ * one is available, and the run goes on at an engine of the decode stage. A resumable stream that breaks off goes on at
+ * another engine after the last event that was delivered whole.
+ */
+internal class StreamForwarder(
+    private val attempts: Attempts,
+    private val chooser: EndpointChooser,
+    private val allowances: RetryAllowances,
+    private val dialect: CallDialect,
+    private val recorder: CallRecorder,
+    private val settings: ForwardingSettings,
+) {
+    suspend fun forward(
+        job: ForwardingJob,
+        engine: EngineProfile,
+        candidates: () -> List<RoutedEndpoint>,
+    ) = Run(job, engine, candidates).go()
+
+    private inner class Run(
+        private val job: ForwardingJob,
+        private val engine: EngineProfile,
+        private val candidates: () -> List<RoutedEndpoint>,
+    ) {
+        private val record = job.record
+        private val tried = HashSet<EndpointId>()
+        private var lastEventId = job.call.traits.lastEventId
+        private var refusal = LocalAnswer.NO_ENDPOINT
+        private var fallback: WholeAnswer? = null
+        private var unreachable = 0
+
+        suspend fun go() {
+            while (unreachable < settings.maxUnreachable) {
+                val step = attemptOnce() ?: break
+                when (step) {
+                    Step.Done -> return
+                    Step.NotSent -> unreachable++
+                    is Step.Again -> {
+                        refusal = step.refusal
+                        if (!mayRetry(step)) break
+                        recorder.retried(record, step.reason)
+                    }
+                }
+            }
+            giveUp()
+        }
+
+        /** Null if no engine is left to try. */
+        private suspend fun attemptOnce(): Step? {
+            val free = candidates().filterNot { it.id in tried }
+            val wantsPrefill = lastEventId == null && record.sentCount == 0
+            val prefill = if (wantsPrefill) choose(free, EndpointStage.PREFILL, false) else null
+            val choice = choose(free, EndpointStage.DECODE, prefill != null) ?: return null
+            tried += choice.endpoint.id
+            val source = prefill?.let { readPrompt(it) }
+            val terms = job.terms(choice.endpoint).copy(kvSource = source, lastEventId = lastEventId)
+            val settledBefore = !record.mayHaveRun
+            val opened = attempts.open(record, choice, terms, plan(choice, source != null))
+            if (opened.isLeft() && source != null) prefill?.let { attempts.releaseKv(it.endpoint, source.handle) }
+            return opened.fold({ notOpened(it) }, { attempt -> attempt.use { follow(it, settledBefore) } })
+        }
+
+        private fun notOpened(failure: AttemptFailure): Step =
+            if (failure is AttemptFailure.NotSent) Step.NotSent else Step.Again("answer_lost", LocalAnswer.ANSWER_LOST)
+
+        private fun choose(
+            free: List<RoutedEndpoint>,
+            stage: EndpointStage,
+            isPromptRead: Boolean,
+        ): Choice? = chooser.chooseEngine(free, stage, job.call.traits, engine, isPromptRead)
+
+        /** Has the prompt read by a prefill engine; without a result the decode engine reads it itself. */
+        private suspend fun readPrompt(prefill: Choice): KvSourceRef? {
+            val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
+            val patienceMs = minOf(job.remainingMs, (usualReadMs(EndpointStage.PREFILL) * PREFILL_PATIENCE_FACTOR).toLong())
+            val answer = withTimeoutOrNull(patienceMs) { attempts.whole(record, prefill, terms, plan(prefill, false)) }
+            val handle = answer?.getOrNull()?.takeIf { it.status == STATUS_OK }?.let { dialect.readKvHandle(it.body) }
+            if (handle == null) recorder.retried(record, "prefill_failed")
+            return handle?.let { KvSourceRef(prefill.endpoint.address, it) }
+        }
+
+        private suspend fun follow(
+            attempt: Attempt,
+            settledBefore: Boolean,
+        ): Step {
+            val head = firstAnswer(attempt) ?: return Step.Again("no_answer_in_time", LocalAnswer.ANSWER_LOST)
+            return head.fold({ Step.Again("answer_lost", LocalAnswer.ANSWER_LOST) }, { answered(attempt, it, settledBefore) })
+        }
+
+        private suspend fun firstAnswer(attempt: Attempt): Either<AttemptFailure, AnswerHead>? {
+            val patient = !job.route.isResumable || record.sentCount >= job.route.maxAttempts
+            val patienceMs = if (patient) job.remainingMs else (job.route.targetLatencyMs * settings.patienceFactor).toLong()
+            return withTimeoutOrNull(patienceMs) { attempt.head() }
+        }
+
+        private suspend fun answered(
+            attempt: Attempt,
+            head: AnswerHead,
+            settledBefore: Boolean,
+        ): Step {
+            if (dialect.isNotRun(head.status, head.headers)) {
+                record.noteNotRun(settledBefore)
+                return Step.Again("not_run", LocalAnswer.ENDPOINTS_FULL)
+            }
+            if (head.status != STATUS_OK) return failed(attempt, head)
+            if (!job.reply.hasBegun) job.reply.begin(head.status, dialect.callerHeaders(head.headers))
+            return relay(attempt)
+        }
+
+        /** A whole answer that is no stream, usually an error of the engine. */
+        private suspend fun failed(
+            attempt: Attempt,
+            head: AnswerHead,
+        ): Step {
+            val body = ByteArrayOutputStream()
+            while (true) {
+                when (val part = attempt.next()) {
+                    is AnswerPart.Data -> body.write(part.bytes)
+                    is AnswerPart.Broken -> return Step.Again("answer_lost", LocalAnswer.ANSWER_LOST)
+                    AnswerPart.End -> break
+                }
+            }
+            if (job.reply.hasBegun) return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
+            fallback = WholeAnswer(head.status, head.headers, body.toByteArray())
+            return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
+        }
+
+        private suspend fun relay(attempt: Attempt): Step {
+            val splitter = EventSplitter()
+            while (true) {
+                val part = nextPart(attempt) ?: return Step.Again("pause_too_long", LocalAnswer.ANSWER_LOST)
+                when (part) {
+                    is AnswerPart.Data -> deliver(splitter.add(part.bytes))
+                    is AnswerPart.Broken -> return Step.Again("stream_broken", LocalAnswer.ANSWER_LOST)
+                    AnswerPart.End -> {
+                        if (splitter.hasRest) job.reply.write(splitter.takeRest())
+                        job.reply.finish()
+                        recorder.delivered(record, STATUS_OK)
+                        return Step.Done
+                    }
+                }
+            }
+        }
+
+        private suspend fun nextPart(attempt: Attempt): AnswerPart? {
+            val pauseMs = job.route.targetPauseMs
+            if (!job.route.isResumable || pauseMs == null || record.sentCount >= job.route.maxAttempts) return attempt.next()
+            return withTimeoutOrNull((pauseMs * settings.pausePatienceFactor).toLong()) { attempt.next() }
+        }
+
+        private suspend fun deliver(events: List<StreamEvent>) {
+            if (events.isEmpty()) return
+            record.noteFirstByte()
+            job.reply.write(EventSplitter.join(events))
+            events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
+        }
+
+        private fun mayRetry(step: Step.Again): Boolean {
+            val ran = step.refusal != LocalAnswer.ENDPOINTS_FULL
+            if (ran && !job.route.isResumable) return false
+            return record.sentCount < job.route.maxAttempts && allowances.of(job.service.name).tryRetry()
+        }
+
+        private fun giveUp() {
+            if (job.reply.hasBegun) {
+                job.reply.abort()
+                return recorder.cut(record, "stream_broken")
+            }
+            val kept = fallback
+            if (kept != null) return job.deliver(kept)
+            job.refuse(if (record.mayHaveRun) LocalAnswer.ANSWER_LOST else refusal)
+        }
+
+        private fun plan(
+            choice: Choice,
+            isPromptRead: Boolean,
+        ): AttemptPlan {
+            val unread = if (isPromptRead) 0 else job.call.traits.promptTokens
+            val stage = choice.endpoint.stage ?: EndpointStage.DECODE
+            return AttemptPlan(
+                kvTokens = job.call.traits.kvTokens,
+                unreadTokens = unread,
+                usualMs = FIRST_TOKEN_BASE_MS + (if (isPromptRead) 0.0 else usualReadMs(stage)),
+                maxIdleMs = if (job.route.isResumable) Long.MAX_VALUE else settings.unrepeatableMaxIdleMs,
+            )
+        }
+
+        private fun usualReadMs(stage: EndpointStage): Double {
+            val rate = if (stage == EndpointStage.PREFILL) EndpointChooser.PREFILL_TOKENS_PER_MS else EndpointChooser.DECODE_READ_TOKENS_PER_MS
+            return job.call.traits.promptTokens / rate
+        }
+    }
+
+    private sealed interface Step {
+        data object Done : Step
+
+        data object NotSent : Step
+
+        class Again(
+            val reason: String,
+            val refusal: LocalAnswer,
+        ) : Step
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+
+        /** Set-up and first step of an engine. */
+        const val FIRST_TOKEN_BASE_MS = 40.0
+
+        /** A prefill that takes this many times longer than alone is queued behind others; the decode engine then reads the prompt. */
+        const val PREFILL_PATIENCE_FACTOR = 4.0
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/WholeAnswer.kt
@@ -0,0 +1,10 @@
+package io.knapweedferry.routing.pipeline
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Complete answer of an endpoint. */
+internal class WholeAnswer(
+    val status: Int,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+)
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/AnswerHead.kt
@@ -0,0 +1,9 @@
+package io.knapweedferry.routing.upstream
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Status and headers of an endpoint's answer. */
+internal class AnswerHead(
+    val status: Int,
+    val headers: HttpHeaders,
+)
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -0,0 +1,161 @@
+package io.knapweedferry.routing.upstream
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.routing.call.CallDialect
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlin.time.TimeSource
+
+/**
+ * One connection to an endpoint, with one request at a time. An answer that names another request is skipped, because
+ * endpoints may send an extra answer late; a connection that received anything unexpected is not used again.
+ */
+internal class EndpointConnection(
+    val endpoint: EndpointId,
+    private val dialect: CallDialect,
+    private val decoder: AnswerDecoder,
+    private val timeSource: TimeSource,
+    private val onReusable: (EndpointConnection) -> Unit,
+    private val onClosed: (EndpointConnection) -> Unit,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private var pending: PendingAnswer? = null
+    private var requestId: String? = null
+    private var skipping = false
+    private var reusable = true
+    private var idleSince = timeSource.markNow()
+
+    /** Time after which the endpoint may close the connection while it is idle. */
+    private var keepAliveMs = DEFAULT_KEEP_ALIVE_MS
+
+    val idleMs: Long get() = idleSince.elapsedNow().inWholeMilliseconds
+
+    val isUsable: Boolean
+        get() = reusable && pending == null && context.channel().isActive && idleMs < keepAliveMs - KEEP_ALIVE_MARGIN_MS
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    /** Writes [request]. Call only on the event loop and only if the connection is usable or new. */
+    fun send(request: OutboundRequest): PendingAnswer {
+        val answer = PendingAnswer { paused -> context.channel().config().isAutoRead = !paused }
+        pending = answer
+        requestId = request.requestId
+        skipping = false
+        decoder.expectsNoBody = request.method.name() == "HEAD"
+        val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.target, Unpooled.wrappedBuffer(request.body))
+        message.headers().add(request.headers)
+        context.writeAndFlush(message).addListener { if (!it.isSuccess) failPending("write failed: ${it.cause()?.message}") }
+        return answer
+    }
+
+    /** Closes the connection if it still receives [answer]; an endpoint drops the work of a connection that closes. */
+    fun cancel(answer: PendingAnswer) {
+        if (pending === answer) close()
+    }
+
+    fun close() {
+        pending = null
+        reusable = false
+        context.close()
+    }
+
+    override fun channelRead(
+        ctx: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            receive(message as HttpObject)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun receive(message: HttpObject) {
+        if (message.decoderResult().isFailure) return breakOff("answer is not HTTP: ${message.decoderResult().cause()?.message}")
+        if (message is HttpResponse) receiveHead(message)
+        if (message is HttpContent) receiveContent(message)
+    }
+
+    private fun receiveHead(response: HttpResponse) {
+        val answer = pending ?: return breakOff("answer without a request")
+        val id = dialect.answeredRequestId(response.headers())
+        if (HttpStatusClass.INFORMATIONAL.contains(response.status().code()) || (requestId != null && id != null && id != requestId)) {
+            skipping = true
+            reusable = reusable && response.status() == HttpResponseStatus.CONTINUE
+            return
+        }
+        skipping = false
+        if (!HttpUtil.isKeepAlive(response) || !hasLength(response)) reusable = false
+        response.headers().get(KEEP_ALIVE)?.let(::noteKeepAlive)
+        answer.begin(AnswerHead(response.status().code(), response.headers()))
+    }
+
+    private fun hasLength(response: HttpResponse) =
+        decoder.expectsNoBody || HttpUtil.isTransferEncodingChunked(response) || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+
+    private fun noteKeepAlive(value: String) {
+        val seconds = Regex("timeout=(\\d+)").find(value)?.groupValues?.get(1)?.toLongOrNull() ?: return
+        keepAliveMs = seconds * MS_PER_SECOND
+    }
+
+    private fun receiveContent(content: HttpContent) {
+        if (skipping) return
+        val answer = pending ?: return breakOff("bytes without a request")
+        if (content.content().isReadable) answer.add(ByteBufUtil.getBytes(content.content()))
+        if (content !is LastHttpContent) return
+        pending = null
+        answer.end()
+        idleSince = timeSource.markNow()
+        if (reusable) onReusable(this) else context.close()
+    }
+
+    private fun breakOff(detail: String) {
+        reusable = false
+        failPending(detail)
+        context.close()
+    }
+
+    private fun failPending(detail: String) {
+        val answer = pending ?: return
+        pending = null
+        answer.fail(detail)
+    }
+
+    // Runs before channelInactive, so that an answer without a length that ends in a reset is not taken for complete.
+    @Deprecated("Overrides a method that Netty's interface declares deprecated")
+    override fun exceptionCaught(
+        ctx: ChannelHandlerContext,
+        cause: Throwable,
+    ): Unit = breakOff("connection failed: ${cause.message}")
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        failPending("connection closed")
+        onClosed(this)
+    }
+
+    private companion object {
+        const val KEEP_ALIVE = "Keep-Alive"
+        const val MS_PER_SECOND = 1_000L
+
+        /** Applies until an endpoint names its own idle timeout. */
+        const val DEFAULT_KEEP_ALIVE_MS = 5_000L
+
+        /** A request must reach the endpoint before its idle timeout: transit, a delayed turn of this process, and rounding. */
+        const val KEEP_ALIVE_MARGIN_MS = 700L
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -0,0 +1,122 @@
+package io.knapweedferry.routing.upstream
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.model.RoutedEndpoint
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlin.coroutines.resume
+import kotlin.time.TimeSource
+
+/** Connections to endpoints, kept open between requests. Confined to the single event loop of [group]. */
+internal class EndpointPool(
+    group: EventLoopGroup,
+    private val dialect: CallDialect,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+) {
+    private val idle = HashMap<EndpointId, ArrayDeque<EndpointConnection>>()
+    private val bootstrap =
+        Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
+
+    /** A kept connection that was idle for [maxIdleMs] at most, or a new one. */
+    suspend fun acquire(
+        endpoint: RoutedEndpoint,
+        maxIdleMs: Long,
+    ): Either<AttemptFailure.NotSent, EndpointConnection> = takeIdle(endpoint.id, maxIdleMs)?.right() ?: connect(endpoint)
+
+    /** Closes idle connections to endpoints that are no longer known. */
+    fun retain(known: Set<EndpointId>) {
+        (idle.keys - known).forEach { id -> idle.remove(id)?.toList()?.forEach { it.close() } }
+    }
+
+    private fun takeIdle(
+        id: EndpointId,
+        maxIdleMs: Long,
+    ): EndpointConnection? {
+        val kept = idle[id] ?: return null
+        while (kept.isNotEmpty()) {
+            // The last one was used most recently, so the path to the endpoint is most likely still alive.
+            val connection = kept.removeLast()
+            if (!connection.isUsable) {
+                connection.close()
+            } else if (connection.idleMs > maxIdleMs) {
+                kept.addLast(connection)
+                return null
+            } else {
+                return connection
+            }
+        }
+        return null
+    }
+
+    private suspend fun connect(endpoint: RoutedEndpoint): Either<AttemptFailure.NotSent, EndpointConnection> {
+        val decoder = AnswerDecoder()
+        val connection = EndpointConnection(endpoint.id, dialect, decoder, timeSource, ::keep, ::forget)
+        val attempt =
+            bootstrap
+                .clone()
+                .handler(
+                    object : ChannelInitializer<SocketChannel>() {
+                        override fun initChannel(channel: SocketChannel) {
+                            channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
+                        }
+                    },
+                ).connect(endpoint.address)
+        val failure = attempt.awaitConnected()
+        return if (failure == null) connection.right() else AttemptFailure.NotSent("no connection: ${failure.message}").left()
+    }
+
+    private suspend fun ChannelFuture.awaitConnected(): Throwable? =
+        suspendCancellableCoroutine { continuation ->
+            addListener { if (continuation.isActive) continuation.resume(it.cause()) }
+            continuation.invokeOnCancellation { closeWhenConnected(channel()) }
+        }
+
+    private fun closeWhenConnected(channel: Channel) {
+        channel.close()
+    }
+
+    private fun keep(connection: EndpointConnection) {
+        val kept = idle.getOrPut(connection.endpoint) { ArrayDeque() }
+        if (kept.size >= MAX_IDLE_PER_ENDPOINT) return connection.close()
+        kept.addLast(connection)
+    }
+
+    private fun forget(connection: EndpointConnection) {
+        idle[connection.endpoint]?.remove(connection)
+    }
+
+    private companion object {
+        /** A reachable endpoint answers within a few ms; a lost opening packet is repeated after 1 s. */
+        const val CONNECT_TIMEOUT_MS = 400
+
+        /** An endpoint accepts a few hundred connections from all routers together. */
+        const val MAX_IDLE_PER_ENDPOINT = 12
+
+        // A silent connection is found after idle + interval * probes = 3 s.
+        const val KEEPALIVE_IDLE_S = 1
+        const val KEEPALIVE_INTERVAL_S = 1
+        const val KEEPALIVE_PROBES = 2
+    }
+}
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingAnswer.kt
@@ -0,0 +1,62 @@
+package io.knapweedferry.routing.upstream
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+
+/**
+ * Answer that a connection is receiving. Confined to the event loop of its connection. [pauseReading] stops the connection
+ * while the reader is behind, so that a slow caller does not make this process buffer a whole answer.
+ */
+internal class PendingAnswer(
+    private val pauseReading: (Boolean) -> Unit,
+) {
+    private val head = CompletableDeferred<Either<AttemptFailure, AnswerHead>>()
+    private val parts = Channel<AnswerPart>(Channel.UNLIMITED)
+    private var bufferedBytes = 0
+    private var paused = false
+
+    suspend fun head(): Either<AttemptFailure, AnswerHead> = head.await()
+
+    /** Next piece of the body; after [AnswerPart.End] or [AnswerPart.Broken] there is none. */
+    suspend fun next(): AnswerPart {
+        val part = parts.receive()
+        if (part is AnswerPart.Data) {
+            bufferedBytes -= part.bytes.size
+            if (paused && bufferedBytes < RESUME_BELOW_BYTES) setPaused(false)
+        }
+        return part
+    }
+
+    fun begin(answer: AnswerHead) {
+        head.complete(answer.right())
+    }
+
+    fun add(bytes: ByteArray) {
+        bufferedBytes += bytes.size
+        parts.trySend(AnswerPart.Data(bytes))
+        if (!paused && bufferedBytes > PAUSE_ABOVE_BYTES) setPaused(true)
+    }
+
+    fun end() {
+        parts.trySend(AnswerPart.End)
+    }
+
+    fun fail(detail: String) {
+        head.complete(AttemptFailure.Unanswered(detail).left())
+        parts.trySend(AnswerPart.Broken(detail))
+    }
+
+    private fun setPaused(value: Boolean) {
+        paused = value
+        pauseReading(value)
+    }
+
+    private companion object {
+        /** Bounds the memory of one answer whose caller reads slowly; far above one event or one usual answer. */
+        const val PAUSE_ABOVE_BYTES = 256 * 1024
+        const val RESUME_BELOW_BYTES = 64 * 1024
+    }
+}
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -45,6 +45,8 @@
     SHUTDOWN_FORCED(112, EventLevel.WARN, "second signal received, stopping at once", "nothing; work in progress was cut off"),
     HTTP_LISTENING(113, EventLevel.INFO, "HTTP server is listening", NO_ACTION),
     SETTINGS_LOADED(114, EventLevel.INFO, "settings loaded", NO_ACTION),
+    SETTINGS_RELOADED(115, EventLevel.INFO, "settings read again", NO_ACTION),
+    LOG_LINES_DROPPED(116, EventLevel.WARN, "log lines dropped because the writer was behind", "look at what reads standard output"),
 
     // 2xx: configuration
     CONFIG_FIRST(200, EventLevel.INFO, "first configuration received", NO_ACTION),
@@ -137,6 +139,12 @@
     CANCEL_SENT(418, EventLevel.DEBUG, "cancel sent", NO_ACTION),
     DEADLINE_MISSED(419, EventLevel.INFO, "request missed its deadline", "look at the queues of the endpoints"),
     LOAD_SHED(420, EventLevel.WARN, "low ranks are refused during overload", "add capacity or reduce the flood"),
+    ROUTED_DELIVERED(430, EventLevel.INFO, "routed request answered by an endpoint", NO_ACTION),
+    ROUTED_NOT_RUN(431, EventLevel.WARN, "routed request refused and not run", "see the reason and the steps"),
+    ROUTED_FAILED(432, EventLevel.WARN, "routed request failed", "see the reason and the steps"),
+    ROUTED_CUT(433, EventLevel.WARN, "answer to a routed request was broken off", "see the reason and the steps"),
+    ROUTED_MALFORMED(434, EventLevel.INFO, "request refused while it was read", "see the detail; look at the caller if this repeats"),
+    CALLER_CONNECTION_FAILED(435, EventLevel.INFO, "connection of a caller failed", NO_ACTION),
 
     // 5xx: claims
     CLAIM_APPENDED(500, EventLevel.DEBUG, "claim appended", NO_ACTION),
@@ -227,6 +235,12 @@
         "compare its version with the adapter",
     ),
     PLATFORM_REJECTED(707, EventLevel.WARN, "outside system refused a call", "see the status and detail"),
+    STORE_LOST(708, EventLevel.WARN, "platform store does not answer", "nothing at once; the last known state stays in use"),
+    STORE_REGAINED(709, EventLevel.INFO, "platform store answers again", NO_ACTION),
+    STORE_RECORD_UNREADABLE(710, EventLevel.WARN, "record of the platform store cannot be read and is passed over", "find out who wrote it"),
+    STORE_SNAPSHOT_READ(711, EventLevel.INFO, "newest records read from the platform store", NO_ACTION),
+    STORE_SNAPSHOT_STALE(712, EventLevel.INFO, "platform store answered with an older state, which is not used", NO_ACTION),
+    STORE_HISTORY_GONE(713, EventLevel.INFO, "platform store dropped records that were not read", "nothing; the newest records are read again"),
 
     // 8xx: audit
     AUDIT_DROPPED(800, EventLevel.WARN, "audit records dropped", "raise bytes_per_second or check the log"),
