--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -10,6 +10,7 @@
 import io.knapweedferry.routing.pipeline.Attempts
 import io.knapweedferry.routing.pipeline.CallPipeline
 import io.knapweedferry.routing.pipeline.CallRecorder
+import io.knapweedferry.routing.pipeline.EngineGate
 import io.knapweedferry.routing.pipeline.PlainForwarder
 import io.knapweedferry.routing.pipeline.StreamForwarder
 import io.knapweedferry.routing.upstream.EndpointPool
@@ -60,7 +61,8 @@
     private fun pipeline(): CallPipeline {
         val attempts = Attempts(pool, chooser, dialect, scope)
         val plain = PlainForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
-        val stream = StreamForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
+        val gate = EngineGate(attempts, chooser, dialect, scope)
+        val stream = StreamForwarder(attempts, gate, chooser, allowances, dialect, recorder, settings.forwarding)
         return CallPipeline(views, plain, stream, allowances, dialect, recorder)
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/AttemptTerms.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/AttemptTerms.kt
@@ -13,6 +13,8 @@
     val isPrefill: Boolean = false,
     /** KV cache that another endpoint keeps for this request. */
     val kvSource: KvSourceRef? = null,
+    /** Reservation that the request uses. */
+    val reservation: String? = null,
     /** Last event that was delivered; the run goes on after it. */
     val lastEventId: String? = null,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
@@ -1,7 +1,6 @@
 package io.knapweedferry.routing.call
 
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpMethod
 
 /** Translates between this router and the headers that callers and endpoints of one deployment use. */
 public interface CallDialect {
@@ -41,6 +40,18 @@
     /** Name of the KV cache that a prefill left at its endpoint; null if the answer cannot be read. */
     public fun readKvHandle(body: ByteArray): String?
 
-    /** Method and path that free a KV cache that nobody will fetch. */
-    public fun releaseKv(handle: String): Pair<HttpMethod, String>
+    /** Frees a KV cache that nobody will fetch. */
+    public fun releaseKv(handle: String): ControlRequest
+
+    /** Request that reserves a slot and [tokens] of KV cache at an engine for [ttlMs]. */
+    public fun reserve(
+        tokens: Int,
+        ttlMs: Long,
+    ): ControlRequest
+
+    /** Name of the reservation that an engine granted; null if the answer cannot be read. */
+    public fun readReservation(body: ByteArray): String?
+
+    /** Gives up a reservation that no request will use. */
+    public fun releaseReservation(reservation: String): ControlRequest
 }
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/ControlRequest.kt
@@ -0,0 +1,11 @@
+package io.knapweedferry.routing.call
+
+import io.netty.handler.codec.http.HttpMethod
+
+/** Request of the router itself to an endpoint. */
+public class ControlRequest(
+    public val method: HttpMethod,
+    public val target: String,
+    /** JSON, or empty. */
+    public val body: ByteArray = ByteArray(0),
+)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
@@ -30,8 +30,7 @@
     override var hasBegun = false
         private set
 
-    /** True once the whole answer was written. */
-    var isFinished = false
+    override var isFinished = false
         private set
 
     private var closesAfter = false
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/EngineProfile.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/EngineProfile.kt
@@ -7,4 +7,6 @@
     val kvCapacityTokens: Int,
     /** Time for which the result of a prefill is kept for its decode. */
     val kvHandleTtlMs: Long,
+    /** Longest time of a reservation; null where engines take none. */
+    val maxReservationMs: Long?,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/Route.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/Route.kt
@@ -15,6 +15,8 @@
     val targetLatencyMs: Long,
     /** Longest pause between two events of a stream that callers expect. */
     val targetPauseMs: Long?,
+    /** Time without an event after which callers abandon a stream. */
+    val abandonMs: Long,
     /** Endpoints that one request may be sent to. */
     val maxAttempts: Int,
     /** 0 is the most urgent. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
@@ -7,6 +7,7 @@
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.call.CallRequest
+import io.knapweedferry.routing.call.ControlRequest
 import io.knapweedferry.routing.fleet.Choice
 import io.knapweedferry.routing.fleet.EndpointChooser
 import io.knapweedferry.routing.model.RoutedEndpoint
@@ -65,31 +66,48 @@
         plan: AttemptPlan,
     ): Either<AttemptFailure, WholeAnswer> =
         open(record, choice, terms, plan).flatMap { attempt ->
-            attempt.use { it.head().flatMap { head -> readBody(it).map { body -> WholeAnswer(head.status, head.headers, body) } } }
+            attempt.use { it.head().flatMap { head -> readBody(it::next).map { body -> WholeAnswer(head.status, head.headers, body) } } }
         }
 
-    /** Frees a KV cache that no decode will fetch; nothing waits for the answer. */
-    fun releaseKv(
+    /** Sends a request of the router itself and returns its whole answer. */
+    suspend fun control(
         endpoint: RoutedEndpoint,
-        handle: String,
+        request: ControlRequest,
+        timeoutMs: Long,
+    ): Either<AttemptFailure, WholeAnswer> =
+        withTimeoutOrNull(timeoutMs) { exchange(endpoint, request) }
+            ?: AttemptFailure.Unanswered("no answer within $timeoutMs ms").left()
+
+    /** Like [control], with nothing waiting for the answer. */
+    fun controlLater(
+        endpoint: RoutedEndpoint,
+        request: ControlRequest,
     ) {
-        val (method, path) = dialect.releaseKv(handle)
-        scope.launch { withTimeoutOrNull(RELEASE_TIMEOUT_MS) { release(endpoint, method, path) } }
+        scope.launch { control(endpoint, request, CONTROL_TIMEOUT_MS) }
     }
 
-    private suspend fun release(
+    private suspend fun exchange(
         endpoint: RoutedEndpoint,
-        method: HttpMethod,
-        path: String,
-    ) {
+        request: ControlRequest,
+    ): Either<AttemptFailure, WholeAnswer> {
         val headers = DefaultHttpHeaders().set(HttpHeaderNames.HOST, endpoint.hostHeader())
-        pool.acquire(endpoint, Long.MAX_VALUE).onRight { it.send(OutboundRequest(method, path, headers, ByteArray(0), null)).head() }
+        if (request.body.isNotEmpty()) {
+            headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
+        }
+        return pool.acquire(endpoint, Long.MAX_VALUE).flatMap { connection ->
+            val answer = connection.send(OutboundRequest(request.method, request.target, headers, request.body, null))
+            try {
+                answer.head().flatMap { head -> readBody(answer::next).map { WholeAnswer(head.status, head.headers, it) } }
+            } finally {
+                connection.cancel(answer)
+            }
+        }
     }
 
-    private suspend fun readBody(attempt: Attempt): Either<AttemptFailure, ByteArray> {
+    private suspend fun readBody(next: suspend () -> AnswerPart): Either<AttemptFailure, ByteArray> {
         val body = ByteArrayOutputStream()
         while (true) {
-            when (val part = attempt.next()) {
+            when (val part = next()) {
                 is AnswerPart.Data -> body.write(part.bytes)
                 is AnswerPart.Broken -> return AttemptFailure.Unanswered(part.detail).left()
                 AnswerPart.End -> return body.toByteArray().right()
@@ -116,7 +134,7 @@
     private fun RoutedEndpoint.hostHeader() = "${address.hostString}:${address.port}"
 
     private companion object {
-        const val RELEASE_TIMEOUT_MS = 1_000L
+        const val CONTROL_TIMEOUT_MS = 1_000L
 
         /** Bounds the memory of one answer of a plain service; the usual ones have a few KB. */
         const val MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -78,6 +78,7 @@
     }
 
     private fun expire(job: ForwardingJob) {
+        if (job.reply.isFinished) return
         if (!job.reply.hasBegun) return job.refuse(if (job.record.mayHaveRun) LocalAnswer.TIMED_OUT else LocalAnswer.EXPIRED_UNSENT)
         job.reply.abort()
         recorder.cut(job.record, "timeout")
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallerReply.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallerReply.kt
@@ -7,6 +7,9 @@
     /** True once a first byte was written; no other answer is possible then. */
     val hasBegun: Boolean
 
+    /** True once the whole answer was written. */
+    val isFinished: Boolean
+
     /** Writes a whole answer of an endpoint. */
     fun deliver(
         status: Int,
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -0,0 +1,149 @@
+package io.knapweedferry.routing.pipeline
+
+import arrow.core.getOrElse
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.ServiceName
+import io.knapweedferry.routing.call.CallDialect
+import io.knapweedferry.routing.fleet.Choice
+import io.knapweedferry.routing.fleet.EndpointChooser
+import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.model.EngineProfile
+import io.knapweedferry.routing.model.RoutedEndpoint
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/**
+ * Lets model requests wait, most urgent first, until an engine grants a reservation of the KV cache that the whole run
+ * needs. Entries share the engines, so only the engine itself knows whether it has room. Confined to the event loop.
+ */
+internal class EngineGate(
+    private val attempts: Attempts,
+    private val chooser: EndpointChooser,
+    private val dialect: CallDialect,
+    private val scope: CoroutineScope,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+) {
+    private val queues = HashMap<ServiceName, Queue>()
+
+    /** Waits for room; null if there was none within [waitMs]. */
+    suspend fun admit(
+        ticket: GateTicket,
+        engine: EngineProfile,
+        waitMs: Long,
+    ): Admission? {
+        val queue = queues.getOrPut(ticket.job.service.name) { Queue() }
+        queue.add(ticket, engine)
+        try {
+            return withTimeoutOrNull(waitMs) { ticket.await() }
+        } finally {
+            queue.remove(ticket)
+        }
+    }
+
+    /** Requests that wait for an engine of [service]. */
+    fun waiting(service: ServiceName): Int = queues[service]?.size ?: 0
+
+    /** A run at [endpoint] ended, so that it may have room again. */
+    fun noteRoom(
+        service: ServiceName,
+        endpoint: EndpointId,
+    ) {
+        queues[service]?.noteRoom(endpoint)
+    }
+
+    private inner class Queue {
+        private val tickets = ArrayList<GateTicket>()
+        private val fullSince = HashMap<EndpointId, TimeMark>()
+        private val wakeUps = Channel<Unit>(Channel.CONFLATED)
+        private var running = false
+
+        val size: Int get() = tickets.size
+
+        fun add(
+            ticket: GateTicket,
+            engine: EngineProfile,
+        ) {
+            tickets += ticket
+            wakeUps.trySend(Unit)
+            if (running) return
+            running = true
+            scope.launch {
+                try {
+                    while (tickets.isNotEmpty()) grantNext(engine)
+                } finally {
+                    running = false
+                }
+            }
+        }
+
+        fun remove(ticket: GateTicket) {
+            tickets -= ticket
+            val admission = ticket.takeUnclaimed() ?: return
+            release(admission)
+        }
+
+        fun noteRoom(endpoint: EndpointId) {
+            fullSince.remove(endpoint)
+            wakeUps.trySend(Unit)
+        }
+
+        private suspend fun grantNext(engine: EngineProfile) {
+            val ticket = tickets.min()
+            val choice = chooser.chooseEngine(ticket.engines().filterNot(::isFull), EndpointStage.DECODE, ticket.job.call.traits, engine, false)
+            if (choice == null) {
+                withTimeoutOrNull(FULL_MS) { wakeUps.receive() }
+                return
+            }
+            val admission = reserve(ticket, choice, engine)
+            if (admission == null) {
+                fullSince[choice.endpoint.id] = timeSource.markNow()
+            } else if (ticket in tickets) {
+                tickets -= ticket
+                ticket.granted.complete(admission)
+            } else {
+                release(admission)
+            }
+        }
+
+        private fun isFull(endpoint: RoutedEndpoint): Boolean =
+            fullSince[endpoint.id]?.let { it.elapsedNow().inWholeMilliseconds < FULL_MS } ?: false
+    }
+
+    private suspend fun reserve(
+        ticket: GateTicket,
+        choice: Choice,
+        engine: EngineProfile,
+    ): Admission? {
+        val maxTtlMs = engine.maxReservationMs ?: return Admission(choice, null)
+        val request = dialect.reserve(ticket.job.call.traits.kvTokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
+        val answer = attempts.control(choice.endpoint, request, RESERVE_TIMEOUT_MS)
+        val granted = answer.getOrElse {
+            chooser.ledger(choice.endpoint.id).health.unreachable()
+            return null
+        }
+        if (granted.status != STATUS_OK) return null
+        return dialect.readReservation(granted.body)?.let { Admission(choice, it) }
+    }
+
+    private fun release(admission: Admission) {
+        val reservation = admission.reservation ?: return
+        attempts.controlLater(admission.choice.endpoint, dialect.releaseReservation(reservation))
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+
+        /** An engine without room is asked again after this time, or when a run of this entry there ends. */
+        const val FULL_MS = 150L
+
+        /** Covers a prefill at another engine; the platform bounds it to 2 s. */
+        const val RESERVATION_TTL_MS = 1_000L
+
+        /** An engine answers within some ms. */
+        const val RESERVE_TIMEOUT_MS = 150L
+    }
+}
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -25,6 +25,12 @@
 
     private val allowedMs: Long get() = min(route.timeoutMs, call.traits.deadlineMs ?: Long.MAX_VALUE)
 
+    /** Time that is left to begin a stream before its caller abandons it. */
+    val untilAbandonedMs: Long get() = min(remainingMs, route.abandonMs - call.elapsedMs)
+
+    /** True if an engine that begins now can still answer within the target. */
+    fun canMeetTarget(readMs: Double): Boolean = call.elapsedMs + readMs < route.targetLatencyMs
+
     fun terms(endpoint: RoutedEndpoint): AttemptTerms =
         AttemptTerms(endpoint = endpoint.id, remainingMs = remainingMs, priority = route.priority, lastEventId = call.traits.lastEventId)
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -61,12 +61,14 @@
         choice: Choice,
     ): PlainResult {
         val settledBefore = !job.record.mayHaveRun
+        val patienceMs = patienceMs(job)
         val result =
-            withTimeoutOrNull(patienceMs(job)) { attempts.whole(job.record, choice, job.terms(choice.endpoint), plan(job)) }
-                ?: return PlainResult.Lost("no_answer_in_time")
+            if (patienceMs == null) whole(job, choice) else withTimeoutOrNull(patienceMs) { whole(job, choice) }
+        result ?: return PlainResult.Lost("no_answer_in_time")
         return result.fold(
             { if (it is AttemptFailure.NotSent) PlainResult.NotSent else PlainResult.Lost("answer_lost") },
             { answer ->
+                if (isUnsignedSuccess(answer)) return@fold PlainResult.Lost("unsigned")
                 if (!dialect.isNotRun(answer.status, answer.headers)) return@fold PlainResult.Answered(answer)
                 job.record.noteNotRun(settledBefore)
                 PlainResult.NotRun
@@ -74,13 +76,21 @@
         )
     }
 
-    /** An attempt that cannot be repeated is waited for as long as the caller waits. */
-    private fun patienceMs(job: ForwardingJob): Long {
-        val remainingMs = job.remainingMs
-        if (!job.route.isRepeatable || job.record.sentCount + 1 >= job.route.maxAttempts) return remainingMs
-        return minOf(remainingMs, (job.route.targetLatencyMs * settings.patienceFactor).toLong())
+    private suspend fun whole(
+        job: ForwardingJob,
+        choice: Choice,
+    ) = attempts.whole(job.record, choice, job.terms(choice.endpoint), plan(job))
+
+    /** Null for an attempt that cannot be repeated, which is waited for as long as the caller waits. */
+    private fun patienceMs(job: ForwardingJob): Long? {
+        if (!job.route.isRepeatable || job.record.sentCount + 1 >= job.route.maxAttempts) return null
+        return (job.route.targetLatencyMs * settings.patienceFactor).toLong()
     }
 
+    /** A success without proof of its origin may come from anywhere. */
+    private fun isUnsignedSuccess(answer: WholeAnswer) =
+        answer.status in SUCCESSES && !dialect.isSigned(answer.headers)
+
     private fun shouldRetryFailure(
         job: ForwardingJob,
         answer: WholeAnswer,
@@ -113,5 +123,6 @@
 
     private companion object {
         const val STATUS_SERVER_ERROR = 500
+        val SUCCESSES = 200..299
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -24,6 +24,7 @@
  */
 internal class StreamForwarder(
     private val attempts: Attempts,
+    private val gate: EngineGate,
     private val chooser: EndpointChooser,
     private val allowances: RetryAllowances,
     private val dialect: CallDialect,
@@ -64,32 +65,48 @@
             giveUp()
         }
 
-        /** Null if no engine is left to try. */
+        /** Null if no engine had room in time. */
         private suspend fun attemptOnce(): Step? {
-            val free = candidates().filterNot { it.id in tried }
-            val wantsPrefill = lastEventId == null && record.sentCount == 0
-            val prefill = if (wantsPrefill) choose(free, EndpointStage.PREFILL, false) else null
-            val choice = choose(free, EndpointStage.DECODE, prefill != null) ?: return null
+            val ticket = GateTicket(job, job.reply.hasBegun, usualReadMs(EndpointStage.DECODE) + FIRST_TOKEN_BASE_MS, candidates, tried)
+            val admission = gate.admit(ticket, engine, waitMs())
+            if (admission == null) {
+                record.note("no_room:${gate.waiting(job.service.name)}")
+                refusal = LocalAnswer.ENDPOINTS_FULL
+                return null
+            }
+            record.note("admitted")
+            val choice = admission.choice
             tried += choice.endpoint.id
-            val source = prefill?.let { readPrompt(it) }
-            val terms = job.terms(choice.endpoint).copy(kvSource = source, lastEventId = lastEventId)
+            val source = if (wantsPrefill()) readPrompt() else null
+            val terms = job.terms(choice.endpoint).copy(kvSource = source, reservation = admission.reservation, lastEventId = lastEventId)
             val settledBefore = !record.mayHaveRun
             val opened = attempts.open(record, choice, terms, plan(choice, source != null))
-            if (opened.isLeft() && source != null) prefill?.let { attempts.releaseKv(it.endpoint, source.handle) }
-            return opened.fold({ notOpened(it) }, { attempt -> attempt.use { follow(it, settledBefore) } })
+            return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt, settledBefore) })
         }
 
+        private fun wantsPrefill() = settings.readsPromptsApart && lastEventId == null && record.sentCount == 0
+
+        /** A request is given up a little before its caller abandons it, so that the caller learns that it may come back. */
+        private fun waitMs(): Long =
+            if (job.reply.hasBegun) job.remainingMs else job.untilAbandonedMs - GIVE_UP_MARGIN_MS
+
+        private suspend fun follow(
+            choice: Choice,
+            attempt: Attempt,
+            settledBefore: Boolean,
+        ): Step =
+            try {
+                attempt.use { follow(it, settledBefore) }
+            } finally {
+                gate.noteRoom(job.service.name, choice.endpoint.id)
+            }
+
         private fun notOpened(failure: AttemptFailure): Step =
             if (failure is AttemptFailure.NotSent) Step.NotSent else Step.Again("answer_lost", LocalAnswer.ANSWER_LOST)
 
-        private fun choose(
-            free: List<RoutedEndpoint>,
-            stage: EndpointStage,
-            isPromptRead: Boolean,
-        ): Choice? = chooser.chooseEngine(free, stage, job.call.traits, engine, isPromptRead)
-
         /** Has the prompt read by a prefill engine; without a result the decode engine reads it itself. */
-        private suspend fun readPrompt(prefill: Choice): KvSourceRef? {
+        private suspend fun readPrompt(): KvSourceRef? {
+            val prefill = chooser.chooseEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, false) ?: return null
             val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
             val patienceMs = minOf(job.remainingMs, (usualReadMs(EndpointStage.PREFILL) * PREFILL_PATIENCE_FACTOR).toLong())
             val answer = withTimeoutOrNull(patienceMs) { attempts.whole(record, prefill, terms, plan(prefill, false)) }
@@ -107,9 +124,8 @@
         }
 
         private suspend fun firstAnswer(attempt: Attempt): Either<AttemptFailure, AnswerHead>? {
-            val patient = !job.route.isResumable || record.sentCount >= job.route.maxAttempts
-            val patienceMs = if (patient) job.remainingMs else (job.route.targetLatencyMs * settings.patienceFactor).toLong()
-            return withTimeoutOrNull(patienceMs) { attempt.head() }
+            if (!job.route.isResumable || record.sentCount >= job.route.maxAttempts) return attempt.head()
+            return withTimeoutOrNull((job.route.targetLatencyMs * settings.patienceFactor).toLong()) { attempt.head() }
         }
 
         private suspend fun answered(
@@ -227,6 +243,9 @@
         /** Set-up and first step of an engine. */
         const val FIRST_TOKEN_BASE_MS = 40.0
 
+        /** Time for a refusal to reach its caller. */
+        const val GIVE_UP_MARGIN_MS = 150L
+
         /** A prefill that takes this many times longer than alone is queued behind others; the decode engine then reads the prompt. */
         const val PREFILL_PATIENCE_FACTOR = 4.0
     }
