--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -17,6 +17,9 @@
     /** Last event that the caller has of a stream that broke off. */
     val lastEventId: String?,
 ) {
-    /** KV cache that the whole run may occupy. */
-    val kvTokens: Int get() = promptTokens + maxOutputTokens
+    /**
+     * KV cache to reserve for the whole run. Halfway between the caller's estimate and the upper bound of the answer, because
+     * the engine grants reservations by what its other runs occupy now, and those still grow.
+     */
+    val kvTokens: Int get() = promptTokens + (minOf(expectedOutputTokens ?: maxOutputTokens, maxOutputTokens) + maxOutputTokens) / 2
 }
