--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
@@ -27,7 +27,8 @@
         ledgers.entries.removeIf { it.key !in known && it.value.isIdle }
     }
 
-    fun choosePlain(candidates: List<RoutedEndpoint>): Choice? = cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_USUAL_MS) }
+    fun choosePlain(candidates: List<RoutedEndpoint>): Choice? =
+        cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_USUAL_MS) }
 
     /** Chooses an engine of [stage] for a whole run, or for its prefill only. */
     fun chooseEngine(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
@@ -145,7 +145,9 @@
     }
 
     private suspend fun serve(next: QueuedCall.Proper) {
-        val id = next.call.traits.requestId?.let { dialect.requestIdHeader to it }
+        val id =
+            next.call.traits.requestId
+                ?.let { dialect.requestIdHeader to it }
         val reply = NettyReply(context, next.call.method, id, { next.keepsAlive && !isStopping() }, ::awaitWritable)
         try {
             pipeline.serve(next.call, reply)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
@@ -25,9 +25,11 @@
     /** One word per decision, with the endpoint and the time since arrival. */
     val trace: String get() = steps.toString()
 
+    /** Sends without a statement that the request did not run. */
+    private var unsettledCount = 0
+
     /** True if an endpoint may have run the request, or may still run it. */
-    var mayHaveRun = false
-        private set
+    val mayHaveRun: Boolean get() = unsettledCount > 0
 
     fun noteSent(
         choice: Choice,
@@ -35,15 +37,15 @@
     ) {
         if (!terms.isPrefill) {
             sentCount++
-            mayHaveRun = true
+            unsettledCount++
         }
         val step = if (terms.isPrefill) "prefill" else "send"
         note("$step>${choice.endpoint.id.value}~${choice.costMs.toInt()}")
     }
 
-    /** The endpoint of the last attempt stated that it did not run the request; earlier attempts are [settled] or not. */
-    fun noteNotRun(settled: Boolean) {
-        mayHaveRun = !settled
+    /** The endpoint of the last attempt stated that it did not run the request. */
+    fun noteNotRun() {
+        unsettledCount--
         note("not_run")
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
@@ -60,8 +60,12 @@
             "priority" to record.route?.priority,
             "config_version" to record.view.table?.version,
             "fleet_version" to record.view.fleetVersion,
-            "prompt_tokens" to record.call.traits.promptTokens.takeIf { it > 0 },
-            "output_tokens" to record.call.traits.maxOutputTokens.takeIf { it > 0 },
+            "prompt_tokens" to
+                record.call.traits.promptTokens
+                    .takeIf { it > 0 },
+            "output_tokens" to
+                record.call.traits.maxOutputTokens
+                    .takeIf { it > 0 },
             "output_hint" to record.call.traits.expectedOutputTokens,
             "deadline_ms" to record.call.traits.deadlineMs,
             "steps" to record.trace,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -93,7 +93,14 @@
 
         private suspend fun grantNext(engine: EngineProfile) {
             val ticket = tickets.min()
-            val choice = chooser.chooseEngine(ticket.engines().filterNot(::isFull), EndpointStage.DECODE, ticket.job.call.traits, engine, false)
+            val choice =
+                chooser.chooseEngine(
+                    ticket.engines().filterNot(::isFull),
+                    EndpointStage.DECODE,
+                    ticket.job.call.traits,
+                    engine,
+                    false,
+                )
             if (choice == null) {
                 withTimeoutOrNull(FULL_MS) { wakeUps.receive() }
                 return
@@ -121,10 +128,11 @@
         val maxTtlMs = engine.maxReservationMs ?: return Admission(choice, null)
         val request = dialect.reserve(ticket.job.call.traits.kvTokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
         val answer = attempts.control(choice.endpoint, request, RESERVE_TIMEOUT_MS)
-        val granted = answer.getOrElse {
-            chooser.ledger(choice.endpoint.id).health.unreachable()
-            return null
-        }
+        val granted =
+            answer.getOrElse {
+                chooser.ledger(choice.endpoint.id).health.unreachable()
+                return null
+            }
         if (granted.status != STATUS_OK) return null
         return dialect.readReservation(granted.body)?.let { Admission(choice, it) }
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -3,8 +3,8 @@
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.call.CallRequest
-import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.model.Route
+import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.model.ServiceProfile
 import kotlin.math.max
 import kotlin.math.min
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -30,9 +30,10 @@
         var refusal = LocalAnswer.NO_ENDPOINT
         var unreachable = 0
         while (unreachable < settings.maxUnreachable) {
-            val choice = chooser.choosePlain(candidates().filterNot { it.id in tried }) ?: break
+            val untried = candidates().filterNot { it.id in tried }
+            val choice = chooser.choosePlain(untried) ?: break
             tried += choice.endpoint.id
-            when (val result = attempt(job, choice)) {
+            when (val result = attempt(job, choice, untried.size > 1)) {
                 is PlainResult.Answered -> {
                     if (!shouldRetryFailure(job, result.answer)) return job.deliver(result.answer)
                     fallback = result.answer
@@ -59,9 +60,9 @@
     private suspend fun attempt(
         job: ForwardingJob,
         choice: Choice,
+        hasAlternative: Boolean,
     ): PlainResult {
-        val settledBefore = !job.record.mayHaveRun
-        val patienceMs = patienceMs(job)
+        val patienceMs = if (hasAlternative) patienceMs(job) else null
         val result =
             if (patienceMs == null) whole(job, choice) else withTimeoutOrNull(patienceMs) { whole(job, choice) }
         result ?: return PlainResult.Lost("no_answer_in_time")
@@ -70,7 +71,7 @@
             { answer ->
                 if (isUnsignedSuccess(answer)) return@fold PlainResult.Lost("unsigned")
                 if (!dialect.isNotRun(answer.status, answer.headers)) return@fold PlainResult.Answered(answer)
-                job.record.noteNotRun(settledBefore)
+                job.record.noteNotRun()
                 PlainResult.NotRun
             },
         )
@@ -84,12 +85,12 @@
     /** Null for an attempt that cannot be repeated, which is waited for as long as the caller waits. */
     private fun patienceMs(job: ForwardingJob): Long? {
         if (!job.route.isRepeatable || job.record.sentCount + 1 >= job.route.maxAttempts) return null
+        if (allowances.of(job.service.name).available() == 0) return null
         return (job.route.targetLatencyMs * settings.patienceFactor).toLong()
     }
 
     /** A success without proof of its origin may come from anywhere. */
-    private fun isUnsignedSuccess(answer: WholeAnswer) =
-        answer.status in SUCCESSES && !dialect.isSigned(answer.headers)
+    private fun isUnsignedSuccess(answer: WholeAnswer) = answer.status in SUCCESSES && !dialect.isSigned(answer.headers)
 
     private fun shouldRetryFailure(
         job: ForwardingJob,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import io.knapweedferry.api.EndpointId
-import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.call.KvSourceRef
 import io.knapweedferry.routing.fleet.Choice
@@ -79,24 +78,21 @@
             tried += choice.endpoint.id
             val source = if (wantsPrefill()) readPrompt() else null
             val terms = job.terms(choice.endpoint).copy(kvSource = source, reservation = admission.reservation, lastEventId = lastEventId)
-            val settledBefore = !record.mayHaveRun
             val opened = attempts.open(record, choice, terms, plan(choice, source != null))
-            return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt, settledBefore) })
+            return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt) })
         }
 
         private fun wantsPrefill() = settings.readsPromptsApart && lastEventId == null && record.sentCount == 0
 
         /** A request is given up a little before its caller abandons it, so that the caller learns that it may come back. */
-        private fun waitMs(): Long =
-            if (job.reply.hasBegun) job.remainingMs else job.untilAbandonedMs - GIVE_UP_MARGIN_MS
+        private fun waitMs(): Long = if (job.reply.hasBegun) job.remainingMs else job.untilAbandonedMs - GIVE_UP_MARGIN_MS
 
         private suspend fun follow(
             choice: Choice,
             attempt: Attempt,
-            settledBefore: Boolean,
         ): Step =
             try {
-                attempt.use { follow(it, settledBefore) }
+                attempt.use { follow(it) }
             } finally {
                 gate.noteRoom(job.service.name, choice.endpoint.id)
             }
@@ -108,33 +104,30 @@
         private suspend fun readPrompt(): KvSourceRef? {
             val prefill = chooser.chooseEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, false) ?: return null
             val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
-            val patienceMs = minOf(job.remainingMs, (usualReadMs(EndpointStage.PREFILL) * PREFILL_PATIENCE_FACTOR).toLong())
+            val patienceMs =
+                minOf(job.remainingMs, ((usualReadMs(EndpointStage.PREFILL) + FIRST_TOKEN_BASE_MS) * PREFILL_PATIENCE_FACTOR).toLong())
             val answer = withTimeoutOrNull(patienceMs) { attempts.whole(record, prefill, terms, plan(prefill, false)) }
             val handle = answer?.getOrNull()?.takeIf { it.status == STATUS_OK }?.let { dialect.readKvHandle(it.body) }
             if (handle == null) recorder.retried(record, "prefill_failed")
             return handle?.let { KvSourceRef(prefill.endpoint.address, it) }
         }
 
-        private suspend fun follow(
-            attempt: Attempt,
-            settledBefore: Boolean,
-        ): Step {
+        private suspend fun follow(attempt: Attempt): Step {
             val head = firstAnswer(attempt) ?: return Step.Again("no_answer_in_time", LocalAnswer.ANSWER_LOST)
-            return head.fold({ Step.Again("answer_lost", LocalAnswer.ANSWER_LOST) }, { answered(attempt, it, settledBefore) })
+            return head.fold({ Step.Again("answer_lost", LocalAnswer.ANSWER_LOST) }, { answered(attempt, it) })
         }
 
         private suspend fun firstAnswer(attempt: Attempt): Either<AttemptFailure, AnswerHead>? {
-            if (!job.route.isResumable || record.sentCount >= job.route.maxAttempts) return attempt.head()
+            if (!canGoElsewhere()) return attempt.head()
             return withTimeoutOrNull((job.route.targetLatencyMs * settings.patienceFactor).toLong()) { attempt.head() }
         }
 
         private suspend fun answered(
             attempt: Attempt,
             head: AnswerHead,
-            settledBefore: Boolean,
         ): Step {
             if (dialect.isNotRun(head.status, head.headers)) {
-                record.noteNotRun(settledBefore)
+                record.noteNotRun()
                 return Step.Again("not_run", LocalAnswer.ENDPOINTS_FULL)
             }
             if (head.status != STATUS_OK) return failed(attempt, head)
@@ -179,10 +172,17 @@
 
         private suspend fun nextPart(attempt: Attempt): AnswerPart? {
             val pauseMs = job.route.targetPauseMs
-            if (!job.route.isResumable || pauseMs == null || record.sentCount >= job.route.maxAttempts) return attempt.next()
+            if (pauseMs == null || !canGoElsewhere()) return attempt.next()
             return withTimeoutOrNull((pauseMs * settings.pausePatienceFactor).toLong()) { attempt.next() }
         }
 
+        /** True if another engine may take over a run that does not go on. */
+        private fun canGoElsewhere(): Boolean =
+            job.route.isResumable &&
+                record.sentCount < job.route.maxAttempts &&
+                allowances.of(job.service.name).available() > 0 &&
+                candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
+
         private suspend fun deliver(events: List<StreamEvent>) {
             if (events.isEmpty()) return
             record.noteFirstByte()
@@ -221,7 +221,14 @@
         }
 
         private fun usualReadMs(stage: EndpointStage): Double {
-            val rate = if (stage == EndpointStage.PREFILL) EndpointChooser.PREFILL_TOKENS_PER_MS else EndpointChooser.DECODE_READ_TOKENS_PER_MS
+            val rate =
+                if (stage ==
+                    EndpointStage.PREFILL
+                ) {
+                    EndpointChooser.PREFILL_TOKENS_PER_MS
+                } else {
+                    EndpointChooser.DECODE_READ_TOKENS_PER_MS
+                }
             return job.call.traits.promptTokens / rate
         }
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -109,7 +109,12 @@
         decoder.expectsNoBody || HttpUtil.isTransferEncodingChunked(response) || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
 
     private fun noteKeepAlive(value: String) {
-        val seconds = Regex("timeout=(\\d+)").find(value)?.groupValues?.get(1)?.toLongOrNull() ?: return
+        val seconds =
+            Regex("timeout=(\\d+)")
+                .find(value)
+                ?.groupValues
+                ?.get(1)
+                ?.toLongOrNull() ?: return
         keepAliveMs = seconds * MS_PER_SECOND
     }
 
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/AsyncLineSink.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/AsyncLineSink.kt
@@ -46,7 +46,8 @@
             val lost = dropped.getAndSet(0)
             if (lost > 0) {
                 onDropped(lost)
-                batch += """{"event":"${LogEvent.LOG_LINES_DROPPED.id}","message":"${LogEvent.LOG_LINES_DROPPED.message}","lines":"$lost"}"""
+                batch +=
+                    """{"event":"${LogEvent.LOG_LINES_DROPPED.id}","message":"${LogEvent.LOG_LINES_DROPPED.message}","lines":"$lost"}"""
             }
             out.println(batch.joinToString("\n"))
             out.flush()
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -237,10 +237,20 @@
     PLATFORM_REJECTED(707, EventLevel.WARN, "outside system refused a call", "see the status and detail"),
     STORE_LOST(708, EventLevel.WARN, "platform store does not answer", "nothing at once; the last known state stays in use"),
     STORE_REGAINED(709, EventLevel.INFO, "platform store answers again", NO_ACTION),
-    STORE_RECORD_UNREADABLE(710, EventLevel.WARN, "record of the platform store cannot be read and is passed over", "find out who wrote it"),
+    STORE_RECORD_UNREADABLE(
+        710,
+        EventLevel.WARN,
+        "record of the platform store cannot be read and is passed over",
+        "find out who wrote it",
+    ),
     STORE_SNAPSHOT_READ(711, EventLevel.INFO, "newest records read from the platform store", NO_ACTION),
     STORE_SNAPSHOT_STALE(712, EventLevel.INFO, "platform store answered with an older state, which is not used", NO_ACTION),
-    STORE_HISTORY_GONE(713, EventLevel.INFO, "platform store dropped records that were not read", "nothing; the newest records are read again"),
+    STORE_HISTORY_GONE(
+        713,
+        EventLevel.INFO,
+        "platform store dropped records that were not read",
+        "nothing; the newest records are read again",
+    ),
 
     // 8xx: audit
     AUDIT_DROPPED(800, EventLevel.WARN, "audit records dropped", "raise bytes_per_second or check the log"),
