--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -4,6 +4,8 @@
 import io.knapweedferry.routing.fleet.EndpointChooser
 import io.knapweedferry.routing.fleet.PeerLoads
 import io.knapweedferry.routing.fleet.RetryAllowances
+import io.knapweedferry.routing.fleet.StageDuty
+import io.knapweedferry.routing.fleet.StageKeeper
 import io.knapweedferry.routing.http.CallerListener
 import io.knapweedferry.routing.model.RoutingViewHolder
 import io.knapweedferry.routing.ops.OperationsServer
@@ -50,6 +52,7 @@
     private val chooser = EndpointChooser(settings.zone, PeerLoads.NONE, TimeSource.Monotonic)
     private val allowances = RetryAllowances(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
     private val recorder = CallRecorder(events, metrics)
+    private val attempts = Attempts(pool, chooser, dialect, scope)
     private val listener = CallerListener(group, scope, pipeline(), dialect, views, events, metrics)
     private val operations = OperationsServer(settings, ::isReady, metrics::scrape)
 
@@ -59,7 +62,6 @@
     private fun isReady() = !stopping && views.current.isComplete
 
     private fun pipeline(): CallPipeline {
-        val attempts = Attempts(pool, chooser, dialect, scope)
         val plain = PlainForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
         val gate = EngineGate(attempts, chooser, dialect, scope)
         val stream = StreamForwarder(attempts, gate, chooser, allowances, dialect, recorder, settings.forwarding)
@@ -73,6 +75,11 @@
         scope.launch { tidy() }
     }
 
+    /** Lets this entry give orders to engines; at most one entry of the fleet may be told so. */
+    public fun takeStageDuty(duty: StageDuty) {
+        scope.launch { StageKeeper(duty, views, attempts, dialect, events).run() }
+    }
+
     /** Forgets endpoints that have gone. */
     private suspend fun tidy() {
         while (true) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
@@ -54,4 +54,7 @@
 
     /** Gives up a reservation that no request will use. */
     public fun releaseReservation(reservation: String): ControlRequest
+
+    /** Request that carries an order. */
+    public fun orderStage(order: StageOrder): ControlRequest
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/ControlRequest.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/ControlRequest.kt
@@ -1,5 +1,7 @@
 package io.knapweedferry.routing.call
 
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 
 /** Request of the router itself to an endpoint. */
@@ -8,4 +10,5 @@
     public val target: String,
     /** JSON, or empty. */
     public val body: ByteArray = ByteArray(0),
+    public val headers: HttpHeaders = EmptyHttpHeaders.INSTANCE,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
@@ -90,7 +90,7 @@
         endpoint: RoutedEndpoint,
         request: ControlRequest,
     ): Either<AttemptFailure, WholeAnswer> {
-        val headers = DefaultHttpHeaders().set(HttpHeaderNames.HOST, endpoint.hostHeader())
+        val headers = DefaultHttpHeaders().add(request.headers).set(HttpHeaderNames.HOST, endpoint.hostHeader())
         if (request.body.isNotEmpty()) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -220,6 +220,7 @@
         "engine holds more memory than the gate has granted",
         "look for requests that bypass the sidecar",
     ),
+    STAGE_DUTY_SETTLED(622, EventLevel.INFO, "the instance that gives orders to engines is known", NO_ACTION),
 
     // 7xx: platform
     LOG_DOWN(700, EventLevel.ERROR, "platform log does not answer", "check the log; model traffic goes on, claims and changes are refused"),
