--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
@@ -55,8 +55,17 @@
         steps.append(step).append('@').append(call.elapsedMs)
     }
 
-    fun noteFirstByte() {
-        if (firstByteMs == null) firstByteMs = call.elapsedMs
+    /** Longest time between two writes to the caller. */
+    var maxPauseMs = 0L
+        private set
+
+    private var lastByteMs = 0L
+
+    /** Takes note of a write to the caller. */
+    fun noteWrite() {
+        val nowMs = call.elapsedMs
+        if (firstByteMs == null) firstByteMs = nowMs else maxPauseMs = maxOf(maxPauseMs, nowMs - lastByteMs)
+        lastByteMs = nowMs
     }
 
     private companion object {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
@@ -70,6 +70,7 @@
             "deadline_ms" to record.call.traits.deadlineMs,
             "steps" to record.trace,
             "first_byte_ms" to record.firstByteMs,
+            "max_pause_ms" to record.maxPauseMs.takeIf { it > 0 },
             "elapsed_ms" to record.call.elapsedMs,
             *fields,
         )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -35,7 +35,7 @@
         AttemptTerms(endpoint = endpoint.id, remainingMs = remainingMs, priority = route.priority, lastEventId = call.traits.lastEventId)
 
     fun deliver(answer: WholeAnswer) {
-        record.noteFirstByte()
+        record.noteWrite()
         reply.deliver(answer.status, dialect.callerHeaders(answer.headers), answer.body)
         recorder.delivered(record, answer.status)
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -185,7 +185,7 @@
 
         private suspend fun deliver(events: List<StreamEvent>) {
             if (events.isEmpty()) return
-            record.noteFirstByte()
+            record.noteWrite()
             job.reply.write(EventSplitter.join(events))
             events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
         }
