--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -126,7 +126,9 @@
         engine: EngineProfile,
     ): Admission? {
         val maxTtlMs = engine.maxReservationMs ?: return Admission(choice, null)
-        val request = dialect.reserve(ticket.job.call.traits.kvTokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
+        // The reservation ends when the run begins, so the head room is only asked for and not kept.
+        val tokens = ticket.job.call.traits.kvTokens + (engine.kvCapacityTokens * ticket.headRoomShare).toInt()
+        val request = dialect.reserve(tokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
         val answer = attempts.control(choice.endpoint, request, RESERVE_TIMEOUT_MS)
         val granted =
             answer.getOrElse {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -30,15 +30,37 @@
     /** Streams in progress first, then requests that can still meet their target, by priority and age. */
     override fun compareTo(other: GateTicket): Int = ORDER.compare(this, other)
 
+    /**
+     * Share of an engine's KV cache that must stay free beside this request. Less urgent requests, and those that are late
+     * already, leave room for more urgent ones that any entry may receive.
+     */
+    val headRoomShare: Double
+        get() =
+            when (group) {
+                GROUP_RESUMED -> 0.0
+                GROUP_IN_TIME -> minOf(job.route.priority * HEAD_ROOM_PER_PRIORITY, MAX_HEAD_ROOM)
+                else -> MAX_HEAD_ROOM
+            }
+
     private val group: Int
         get() =
             when {
-                isResumed -> 0
-                job.canMeetTarget(firstEventMs) -> 1
-                else -> 2
+                isResumed -> GROUP_RESUMED
+                job.canMeetTarget(firstEventMs) -> GROUP_IN_TIME
+                else -> GROUP_LATE
             }
 
     private companion object {
+        const val GROUP_RESUMED = 0
+        const val GROUP_IN_TIME = 1
+        const val GROUP_LATE = 2
+
+        /** About a third of a typical request's share of an engine. */
+        const val HEAD_ROOM_PER_PRIORITY = 0.04
+
+        /** About one typical request. */
+        const val MAX_HEAD_ROOM = 0.15
+
         val ORDER: Comparator<GateTicket> =
             compareBy<GateTicket> { it.group }.thenBy { it.job.route.priority }.thenByDescending { it.job.call.elapsedMs }
     }
