--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -28,6 +28,9 @@
     /** Time that is left to begin a stream before its caller abandons it. */
     val untilAbandonedMs: Long get() = min(remainingMs, route.abandonMs - call.elapsedMs)
 
+    /** True if the caller has waited before, as far as its remaining time shows; callers repeat a request only once or twice. */
+    val isRepeated: Boolean get() = (call.traits.deadlineMs ?: Long.MAX_VALUE) < route.timeoutMs * FIRST_DEADLINE_SHARE
+
     /** True if an engine that begins now can still answer within the target. */
     fun canMeetTarget(readMs: Double): Boolean = call.elapsedMs + readMs < route.targetLatencyMs
 
@@ -47,11 +50,18 @@
     }
 
     /** Callers wait for up to a third of the time that they have left. */
-    private fun retryAfterMs(): Long = min(route.targetLatencyMs / 2, remainingMs / 4).coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+    private fun retryAfterMs(): Long {
+        val wantedMs = min(route.targetLatencyMs / 2, MAX_RETRY_AFTER_MS)
+        return min(wantedMs, remainingMs / RETRY_PARTS).coerceAtLeast(MIN_RETRY_AFTER_MS)
+    }
 
     private companion object {
         /** Below the time that an endpoint needs to finish one request, a repeat finds the same situation. */
         const val MIN_RETRY_AFTER_MS = 40L
         const val MAX_RETRY_AFTER_MS = 1_000L
+        const val RETRY_PARTS = 4
+
+        /** First deadlines of callers lie between six sevenths of the route's timeout and the whole. */
+        const val FIRST_DEADLINE_SHARE = 0.8
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -27,7 +27,7 @@
 
     fun engines(): List<RoutedEndpoint> = candidates().filterNot { it.id in excluded }
 
-    /** Streams in progress first, then requests that can still meet their target, by priority and age. */
+    /** Streams in progress first, then requests that can still meet their target, then those whose callers come back no more. */
     override fun compareTo(other: GateTicket): Int = ORDER.compare(this, other)
 
     /**
@@ -39,6 +39,7 @@
             when (group) {
                 GROUP_RESUMED -> 0.0
                 GROUP_IN_TIME -> minOf(job.route.priority * HEAD_ROOM_PER_PRIORITY, MAX_HEAD_ROOM)
+                GROUP_LAST_CHANCE -> HEAD_ROOM_PER_PRIORITY
                 else -> MAX_HEAD_ROOM
             }
 
@@ -46,6 +47,7 @@
         get() =
             when {
                 isResumed -> GROUP_RESUMED
+                job.isRepeated -> GROUP_LAST_CHANCE
                 job.canMeetTarget(firstEventMs) -> GROUP_IN_TIME
                 else -> GROUP_LATE
             }
@@ -53,13 +55,14 @@
     private companion object {
         const val GROUP_RESUMED = 0
         const val GROUP_IN_TIME = 1
-        const val GROUP_LATE = 2
+        const val GROUP_LAST_CHANCE = 2
+        const val GROUP_LATE = 3
 
         /** About a third of a typical request's share of an engine. */
         const val HEAD_ROOM_PER_PRIORITY = 0.04
 
         /** About one typical request. */
-        const val MAX_HEAD_ROOM = 0.15
+        const val MAX_HEAD_ROOM = 0.12
 
         val ORDER: Comparator<GateTicket> =
             compareBy<GateTicket> { it.group }.thenBy { it.job.route.priority }.thenByDescending { it.job.call.elapsedMs }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -250,6 +250,9 @@
         /** Set-up and first step of an engine. */
         const val FIRST_TOKEN_BASE_MS = 40.0
 
+        /** Time per token of an engine with the requests that its memory holds. */
+        const val RUN_MS_PER_TOKEN = 4.0
+
         /** Time for a refusal to reach its caller. */
         const val GIVE_UP_MARGIN_MS = 150L
 
