--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -28,6 +28,9 @@
     /** Time that is left to begin a stream before its caller abandons it. */
     val untilAbandonedMs: Long get() = min(remainingMs, route.abandonMs - call.elapsedMs)
 
+    /** Part of the time that the caller waits for a first event that is left, from 1 to 0. */
+    val shareUntilAbandoned: Double get() = (untilAbandonedMs.toDouble() / route.abandonMs).coerceIn(0.0, 1.0)
+
     /** True if the caller has waited before, as far as its remaining time shows; callers repeat a request only once or twice. */
     val isRepeated: Boolean get() = (call.traits.deadlineMs ?: Long.MAX_VALUE) < route.timeoutMs * FIRST_DEADLINE_SHARE
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -32,15 +32,15 @@
 
     /**
      * Share of an engine's KV cache that must stay free beside this request. Less urgent requests, and those that are late
-     * already, leave room for more urgent ones that any entry may receive.
+     * already, leave room for more urgent ones that any entry may receive; a late one insists more as its end comes near.
      */
     val headRoomShare: Double
         get() =
             when (group) {
                 GROUP_RESUMED -> 0.0
                 GROUP_IN_TIME -> minOf(job.route.priority * HEAD_ROOM_PER_PRIORITY, MAX_HEAD_ROOM)
-                GROUP_LAST_CHANCE -> HEAD_ROOM_PER_PRIORITY
-                else -> MAX_HEAD_ROOM
+                GROUP_LAST_CHANCE -> HEAD_ROOM_PER_PRIORITY * job.shareUntilAbandoned
+                else -> MAX_HEAD_ROOM * job.shareUntilAbandoned
             }
 
     private val group: Int
