--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
@@ -41,7 +41,11 @@
     }
 
     private suspend fun check(view: RoutingView) {
-        val now = view.endpoints.values.filterNot { it.isLeaving }.map { it.id to it.bornMs }.toSet()
+        val now =
+            view.endpoints.values
+                .filterNot { it.isLeaving }
+                .map { it.id to it.bornMs }
+                .toSet()
         if (now != seen || view.endpoints.values.any { it.isLeaving }) {
             seen = now
             unchangedSince = timeSource.markNow()
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -0,0 +1,54 @@
+package io.knapweedferry.routing.pipeline
+
+import io.knapweedferry.routing.upstream.AnswerPart
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Delivers the events of one stream, which several attempts may produce one after another. */
+internal class EventRelay(
+    private val job: ForwardingJob,
+    private val settings: ForwardingSettings,
+    /** True if another engine may take over a run that does not go on. */
+    private val canGoElsewhere: () -> Boolean,
+) {
+    /** How the events of one attempt ended. */
+    enum class End {
+        COMPLETE,
+        BROKEN,
+        PAUSED,
+    }
+
+    /** Last event that was delivered whole. */
+    var lastEventId = job.call.traits.lastEventId
+        private set
+
+    suspend fun relay(attempt: Attempt): End {
+        val splitter = EventSplitter()
+        while (true) {
+            val part = nextPart(attempt) ?: return End.PAUSED
+            when (part) {
+                is AnswerPart.Data -> deliver(splitter.add(part.bytes))
+                is AnswerPart.Broken -> return End.BROKEN
+                AnswerPart.End -> return complete(splitter)
+            }
+        }
+    }
+
+    private suspend fun complete(splitter: EventSplitter): End {
+        if (splitter.hasRest) job.reply.write(splitter.takeRest())
+        job.reply.finish()
+        return End.COMPLETE
+    }
+
+    private suspend fun nextPart(attempt: Attempt): AnswerPart? {
+        val pauseMs = job.route.targetPauseMs
+        if (pauseMs == null || !canGoElsewhere()) return attempt.next()
+        return withTimeoutOrNull((pauseMs * settings.pausePatienceFactor).toLong()) { attempt.next() }
+    }
+
+    private suspend fun deliver(events: List<StreamEvent>) {
+        if (events.isEmpty()) return
+        job.record.noteWrite()
+        job.reply.write(EventSplitter.join(events))
+        events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
+    }
+}
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -24,89 +24,107 @@
     suspend fun forward(
         job: ForwardingJob,
         candidates: () -> List<RoutedEndpoint>,
+    ) = Run(job, candidates).go()
+
+    private inner class Run(
+        private val job: ForwardingJob,
+        private val candidates: () -> List<RoutedEndpoint>,
     ) {
-        val tried = HashSet<EndpointId>()
-        var fallback: WholeAnswer? = null
-        var refusal = LocalAnswer.NO_ENDPOINT
-        var unreachable = 0
-        while (unreachable < settings.maxUnreachable) {
-            val untried = candidates().filterNot { it.id in tried }
-            val choice = chooser.choosePlain(untried) ?: break
-            tried += choice.endpoint.id
-            when (val result = attempt(job, choice, untried.size > 1)) {
-                is PlainResult.Answered -> {
-                    if (!shouldRetryFailure(job, result.answer)) return job.deliver(result.answer)
-                    fallback = result.answer
-                    recorder.retried(job.record, "endpoint_error")
-                }
-                is PlainResult.NotRun -> {
-                    refusal = LocalAnswer.ENDPOINTS_FULL
-                    if (!mayRetry(job)) break
-                    recorder.retried(job.record, "not_run")
-                }
-                is PlainResult.Lost -> {
-                    refusal = LocalAnswer.ANSWER_LOST
-                    if (!job.route.isRepeatable || !mayRetry(job)) break
-                    recorder.retried(job.record, result.reason)
-                }
-                PlainResult.NotSent -> unreachable++
+        private val record = job.record
+        private val tried = HashSet<EndpointId>()
+        private var fallback: WholeAnswer? = null
+        private var refusal = LocalAnswer.NO_ENDPOINT
+        private var unreachable = 0
+
+        suspend fun go() {
+            while (unreachable < settings.maxUnreachable) {
+                val untried = candidates().filterNot { it.id in tried }
+                val choice = chooser.choosePlain(untried) ?: break
+                tried += choice.endpoint.id
+                if (!goesOn(attempt(choice, untried.size > 1))) return
             }
+            giveUp()
         }
-        val kept = fallback
-        if (kept != null) return job.deliver(kept)
-        job.refuse(if (job.record.mayHaveRun) LocalAnswer.ANSWER_LOST else refusal)
-    }
 
-    private suspend fun attempt(
-        job: ForwardingJob,
-        choice: Choice,
-        hasAlternative: Boolean,
-    ): PlainResult {
-        val patienceMs = if (hasAlternative) patienceMs(job) else null
-        val result =
-            if (patienceMs == null) whole(job, choice) else withTimeoutOrNull(patienceMs) { whole(job, choice) }
-        result ?: return PlainResult.Lost("no_answer_in_time")
-        return result.fold(
-            { if (it is AttemptFailure.NotSent) PlainResult.NotSent else PlainResult.Lost("answer_lost") },
-            { answer ->
-                if (isUnsignedSuccess(answer)) return@fold PlainResult.Lost("unsigned")
-                if (!dialect.isNotRun(answer.status, answer.headers)) return@fold PlainResult.Answered(answer)
-                job.record.noteNotRun()
-                PlainResult.NotRun
-            },
-        )
-    }
+        /** False once the request has its final answer. */
+        private fun goesOn(result: PlainResult): Boolean =
+            when (result) {
+                is PlainResult.Answered -> retryFailure(result.answer)
+                is PlainResult.Lost -> retry(result.reason, LocalAnswer.ANSWER_LOST, job.route.isRepeatable)
+                PlainResult.NotRun -> retry("not_run", LocalAnswer.ENDPOINTS_FULL, isSafe = true)
+                PlainResult.NotSent -> true.also { unreachable++ }
+            }
 
-    private suspend fun whole(
-        job: ForwardingJob,
-        choice: Choice,
-    ) = attempts.whole(job.record, choice, job.terms(choice.endpoint), plan(job))
-
-    /** Null for an attempt that cannot be repeated, which is waited for as long as the caller waits. */
-    private fun patienceMs(job: ForwardingJob): Long? {
-        if (!job.route.isRepeatable || job.record.sentCount + 1 >= job.route.maxAttempts) return null
-        if (allowances.of(job.service.name).available() == 0) return null
-        return (job.route.targetLatencyMs * settings.patienceFactor).toLong()
-    }
+        private fun retryFailure(answer: WholeAnswer): Boolean {
+            if (answer.status >= STATUS_SERVER_ERROR && job.route.isRepeatable && mayRetry()) {
+                fallback = answer
+                recorder.retried(record, "endpoint_error")
+                return true
+            }
+            job.deliver(answer)
+            return false
+        }
+
+        private fun retry(
+            reason: String,
+            answer: LocalAnswer,
+            isSafe: Boolean,
+        ): Boolean {
+            refusal = answer
+            if (isSafe && mayRetry()) {
+                recorder.retried(record, reason)
+                return true
+            }
+            giveUp()
+            return false
+        }
 
-    /** A success without proof of its origin may come from anywhere. */
-    private fun isUnsignedSuccess(answer: WholeAnswer) = answer.status in SUCCESSES && !dialect.isSigned(answer.headers)
+        private fun giveUp() {
+            val kept = fallback
+            if (kept != null) return job.deliver(kept)
+            job.refuse(if (record.mayHaveRun) LocalAnswer.ANSWER_LOST else refusal)
+        }
 
-    private fun shouldRetryFailure(
-        job: ForwardingJob,
-        answer: WholeAnswer,
-    ): Boolean = answer.status >= STATUS_SERVER_ERROR && job.route.isRepeatable && mayRetry(job)
-
-    private fun mayRetry(job: ForwardingJob): Boolean =
-        job.record.sentCount < job.route.maxAttempts && allowances.of(job.service.name).tryRetry()
-
-    private fun plan(job: ForwardingJob) =
-        AttemptPlan(
-            kvTokens = 0,
-            unreadTokens = 0,
-            usualMs = EndpointChooser.PLAIN_USUAL_MS,
-            maxIdleMs = if (job.route.isRepeatable) Long.MAX_VALUE else settings.unrepeatableMaxIdleMs,
-        )
+        private suspend fun attempt(
+            choice: Choice,
+            hasAlternative: Boolean,
+        ): PlainResult {
+            val patienceMs = if (hasAlternative) patienceMs() else null
+            val result = if (patienceMs == null) whole(choice) else withTimeoutOrNull(patienceMs) { whole(choice) }
+            result ?: return PlainResult.Lost("no_answer_in_time")
+            return result.fold(
+                { if (it is AttemptFailure.NotSent) PlainResult.NotSent else PlainResult.Lost("answer_lost") },
+                ::classify,
+            )
+        }
+
+        private fun classify(answer: WholeAnswer): PlainResult {
+            // A success without proof of its origin may come from anywhere.
+            if (answer.status in SUCCESSES && !dialect.isSigned(answer.headers)) return PlainResult.Lost("unsigned")
+            if (!dialect.isNotRun(answer.status, answer.headers)) return PlainResult.Answered(answer)
+            record.noteNotRun()
+            return PlainResult.NotRun
+        }
+
+        private suspend fun whole(choice: Choice) = attempts.whole(record, choice, job.terms(choice.endpoint), plan())
+
+        /** Null for an attempt that cannot be repeated, which is waited for as long as the caller waits. */
+        private fun patienceMs(): Long? {
+            if (!job.route.isRepeatable || record.sentCount + 1 >= job.route.maxAttempts) return null
+            if (allowances.of(job.service.name).available() == 0) return null
+            return (job.route.targetLatencyMs * settings.patienceFactor).toLong()
+        }
+
+        private fun mayRetry(): Boolean = record.sentCount < job.route.maxAttempts && allowances.of(job.service.name).tryRetry()
+
+        private fun plan() =
+            AttemptPlan(
+                kvTokens = 0,
+                unreadTokens = 0,
+                usualMs = EndpointChooser.PLAIN_USUAL_MS,
+                maxIdleMs = if (job.route.isRepeatable) Long.MAX_VALUE else settings.unrepeatableMaxIdleMs,
+            )
+    }
 
     private sealed interface PlainResult {
         class Answered(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -43,7 +43,7 @@
     ) {
         private val record = job.record
         private val tried = HashSet<EndpointId>()
-        private var lastEventId = job.call.traits.lastEventId
+        private val relay = EventRelay(job, settings, ::canGoElsewhere)
         private var refusal = LocalAnswer.NO_ENDPOINT
         private var fallback: WholeAnswer? = null
         private var unreachable = 0
@@ -51,17 +51,27 @@
         suspend fun go() {
             while (unreachable < settings.maxUnreachable) {
                 val step = attemptOnce() ?: break
-                when (step) {
-                    Step.Done -> return
-                    Step.NotSent -> unreachable++
-                    is Step.Again -> {
-                        refusal = step.refusal
-                        if (!mayRetry(step)) break
-                        recorder.retried(record, step.reason)
-                    }
-                }
+                if (!goesOn(step)) return
+            }
+            giveUp()
+        }
+
+        /** False once the request has its final answer. */
+        private fun goesOn(step: Step): Boolean =
+            when (step) {
+                Step.Done -> false
+                Step.NotSent -> true.also { unreachable++ }
+                is Step.Again -> retry(step)
+            }
+
+        private fun retry(step: Step.Again): Boolean {
+            refusal = step.refusal
+            if (mayRetry(step)) {
+                recorder.retried(record, step.reason)
+                return true
             }
             giveUp()
+            return false
         }
 
         /** Null if no engine had room in time. */
@@ -77,12 +87,16 @@
             val choice = admission.choice
             tried += choice.endpoint.id
             val source = if (wantsPrefill()) readPrompt() else null
-            val terms = job.terms(choice.endpoint).copy(kvSource = source, reservation = admission.reservation, lastEventId = lastEventId)
+            val terms =
+                job
+                    .terms(
+                        choice.endpoint,
+                    ).copy(kvSource = source, reservation = admission.reservation, lastEventId = relay.lastEventId)
             val opened = attempts.open(record, choice, terms, plan(choice, source != null))
             return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt) })
         }
 
-        private fun wantsPrefill() = settings.readsPromptsApart && lastEventId == null && record.sentCount == 0
+        private fun wantsPrefill() = settings.readsPromptsApart && relay.lastEventId == null && record.sentCount == 0
 
         /** A request is given up a little before its caller abandons it, so that the caller learns that it may come back. */
         private fun waitMs(): Long = if (job.reply.hasBegun) job.remainingMs else job.untilAbandonedMs - GIVE_UP_MARGIN_MS
@@ -153,28 +167,12 @@
             return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
         }
 
-        private suspend fun relay(attempt: Attempt): Step {
-            val splitter = EventSplitter()
-            while (true) {
-                val part = nextPart(attempt) ?: return Step.Again("pause_too_long", LocalAnswer.ANSWER_LOST)
-                when (part) {
-                    is AnswerPart.Data -> deliver(splitter.add(part.bytes))
-                    is AnswerPart.Broken -> return Step.Again("stream_broken", LocalAnswer.ANSWER_LOST)
-                    AnswerPart.End -> {
-                        if (splitter.hasRest) job.reply.write(splitter.takeRest())
-                        job.reply.finish()
-                        recorder.delivered(record, STATUS_OK)
-                        return Step.Done
-                    }
-                }
+        private suspend fun relay(attempt: Attempt): Step =
+            when (relay.relay(attempt)) {
+                EventRelay.End.COMPLETE -> Step.Done.also { recorder.delivered(record, STATUS_OK) }
+                EventRelay.End.BROKEN -> Step.Again("stream_broken", LocalAnswer.ANSWER_LOST)
+                EventRelay.End.PAUSED -> Step.Again("pause_too_long", LocalAnswer.ANSWER_LOST)
             }
-        }
-
-        private suspend fun nextPart(attempt: Attempt): AnswerPart? {
-            val pauseMs = job.route.targetPauseMs
-            if (pauseMs == null || !canGoElsewhere()) return attempt.next()
-            return withTimeoutOrNull((pauseMs * settings.pausePatienceFactor).toLong()) { attempt.next() }
-        }
 
         /** True if another engine may take over a run that does not go on. */
         private fun canGoElsewhere(): Boolean =
@@ -183,13 +181,6 @@
                 allowances.of(job.service.name).available() > 0 &&
                 candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
 
-        private suspend fun deliver(events: List<StreamEvent>) {
-            if (events.isEmpty()) return
-            record.noteWrite()
-            job.reply.write(EventSplitter.join(events))
-            events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
-        }
-
         private fun mayRetry(step: Step.Again): Boolean {
             val ran = step.refusal != LocalAnswer.ENDPOINTS_FULL
             if (ran && !job.route.isResumable) return false
@@ -257,6 +248,6 @@
         const val GIVE_UP_MARGIN_MS = 150L
 
         /** A prefill that takes this many times longer than alone is queued behind others; the decode engine then reads the prompt. */
-        const val PREFILL_PATIENCE_FACTOR = 4.0
+        const val PREFILL_PATIENCE_FACTOR = 8.0
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -93,8 +93,7 @@
 
     private fun receiveHead(response: HttpResponse) {
         val answer = pending ?: return breakOff("answer without a request")
-        val id = dialect.answeredRequestId(response.headers())
-        if (HttpStatusClass.INFORMATIONAL.contains(response.status().code()) || (requestId != null && id != null && id != requestId)) {
+        if (HttpStatusClass.INFORMATIONAL.contains(response.status().code()) || isForeign(response)) {
             skipping = true
             reusable = reusable && response.status() == HttpResponseStatus.CONTINUE
             return
@@ -105,6 +104,12 @@
         answer.begin(AnswerHead(response.status().code(), response.headers()))
     }
 
+    /** True if the answer names another request. */
+    private fun isForeign(response: HttpResponse): Boolean {
+        val expected = requestId ?: return false
+        return (dialect.answeredRequestId(response.headers()) ?: expected) != expected
+    }
+
     private fun hasLength(response: HttpResponse) =
         decoder.expectsNoBody || HttpUtil.isTransferEncodingChunked(response) || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
 
