--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -42,6 +42,8 @@
     private val views: RoutingViewHolder,
     private val events: EventLog,
     private val metrics: RoutingMetrics,
+    /** What this entry knows, for other entries; null while it knows nothing. */
+    peerState: () -> ByteArray?,
 ) {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next().asCoroutineDispatcher()
@@ -54,7 +56,7 @@
     private val recorder = CallRecorder(events, metrics)
     private val attempts = Attempts(pool, chooser, dialect, scope)
     private val listener = CallerListener(group, scope, pipeline(), dialect, views, events, metrics)
-    private val operations = OperationsServer(settings, ::isReady, metrics::scrape)
+    private val operations = OperationsServer(settings, ::isReady, metrics::scrape, peerState)
 
     @Volatile
     private var stopping = false
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntrySettings.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntrySettings.kt
@@ -13,6 +13,9 @@
     /** Address at which a load balancer asks whether this entry takes callers. */
     val readinessAddress: InetSocketAddress,
     val readinessPath: String,
+    /** Address at which other entries ask for what this one knows. */
+    val peerAddress: InetSocketAddress,
+    val peerStatePath: String,
     /** Address of metrics and state for operators. */
     val operationsAddress: InetSocketAddress,
     /** Time that a graceful shutdown may take. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/ops/OperationsServer.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/ops/OperationsServer.kt
@@ -2,16 +2,18 @@
 
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
 import io.knapweedferry.routing.RoutedEntrySettings
 import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 
-/** Readiness for the load balancer and metrics for operators, each on its own address. */
+/** Readiness for the load balancer, metrics for operators and state for other entries, each on its own address. */
 internal class OperationsServer(
     private val settings: RoutedEntrySettings,
     private val isReady: () -> Boolean,
     private val scrape: () -> String,
+    private val peerState: () -> ByteArray?,
 ) {
     private val threads = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
     private val javalin = Javalin.create(::configure)
@@ -27,7 +29,7 @@
     private fun configure(config: JavalinConfig) {
         config.startup.showJavalinBanner = false
         config.jetty.threadPool = threads
-        listOf(settings.readinessAddress, settings.operationsAddress).forEach { address ->
+        listOf(settings.readinessAddress, settings.operationsAddress, settings.peerAddress).forEach { address ->
             config.jetty.addConnector { server, http ->
                 ServerConnector(server, 1, 1, HttpConnectionFactory(http)).apply {
                     host = address.hostString
@@ -36,13 +38,19 @@
             }
         }
         config.routes.get(settings.readinessPath) { it.status(if (isReady()) STATUS_OK else STATUS_UNAVAILABLE) }
+        config.routes.get(settings.peerStatePath, ::tellPeer)
         config.routes.get("/metrics") { it.contentType(METRICS_TYPE).result(scrape()) }
     }
 
+    private fun tellPeer(ctx: Context) {
+        val state = peerState()
+        if (state == null) ctx.status(STATUS_UNAVAILABLE) else ctx.contentType("application/cbor").result(state)
+    }
+
     private companion object {
-        // Two connectors with an acceptor and a selector each, and a few requests at a time.
-        const val MAX_THREADS = 10
-        const val MIN_THREADS = 5
+        // Three connectors with an acceptor and a selector each, and a few requests at a time.
+        const val MAX_THREADS = 12
+        const val MIN_THREADS = 7
         const val STATUS_OK = 200
         const val STATUS_UNAVAILABLE = 503
         const val METRICS_TYPE = "text/plain; version=0.0.4"
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -92,6 +92,7 @@
     CONFIG_OLDER_IGNORED(220, EventLevel.DEBUG, "older configuration revision ignored", NO_ACTION),
     APPEND_RESOLVED(221, EventLevel.INFO, "append whose response was lost was found in the log", NO_ACTION),
     APPEND_NOT_FOUND(222, EventLevel.WARN, "append whose response was lost is not in the log", "nothing; it is repeated if that is safe"),
+    CONFIG_PEER_UNKNOWING(223, EventLevel.INFO, "peer could not tell the configuration", "check the store and the peers if this repeats"),
 
     // 3xx: sessions
     SESSION_OPENED(300, EventLevel.INFO, "session opened", NO_ACTION),
