--- /dev/null
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/EndpointCostSpec.kt
@@ -0,0 +1,36 @@
+package io.knapweedferry.policy.routing
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Guards against choices that prefer a loaded, slow, failing or unreachable endpoint to a free one. */
+internal class EndpointCostSpec {
+    private val free = EndpointCondition(EndpointLoad.NONE, 6, 30_000, true, false, 0.0, 1.0, 0)
+
+    private val worse =
+        listOf(
+            free.copy(load = EndpointLoad(6.0, 20_000.0, 3_000.0)),
+            free.copy(load = EndpointLoad(9.0, 29_000.0, 0.0)),
+            free.copy(isSameZone = false),
+            free.copy(isAvoided = true),
+            free.copy(failureShare = 0.3),
+            free.copy(slowness = 4.0),
+            free.copy(overdueMs = 100),
+        )
+
+    @Test
+    fun `each sign of trouble or load makes a plain endpoint cost more`() {
+        worse.forEach { assertTrue(EndpointCost.plain(it, 20.0) > EndpointCost.plain(free, 20.0), "$it") }
+    }
+
+    @Test
+    fun `each sign of trouble or load makes an engine cost more`() {
+        worse.forEach { assertTrue(EndpointCost.engine(it, 3_000, 4_000, 33.0) > EndpointCost.engine(free, 3_000, 4_000, 33.0), "$it") }
+    }
+
+    @Test
+    fun `an unreachable endpoint costs more than any load`() {
+        val loaded = free.copy(load = EndpointLoad(60.0, 60_000.0, 60_000.0))
+        assertTrue(EndpointCost.engine(free.copy(isAvoided = true), 3_000, 4_000, 33.0) > EndpointCost.engine(loaded, 3_000, 4_000, 33.0))
+    }
+}
--- /dev/null
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/EndpointHealthSpec.kt
@@ -0,0 +1,46 @@
+package io.knapweedferry.policy.routing
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
+
+/** Guards against endpoints that are avoided for ever after a fault, or used on as if nothing had happened. */
+internal class EndpointHealthSpec {
+    private val time = TestTimeSource()
+    private val health = EndpointHealth(time)
+
+    @Test
+    fun `an unreachable endpoint is avoided for longer after each failure and used again after an answer`() {
+        health.unreachable()
+        assertTrue(health.isAvoided())
+        time += 301.milliseconds
+        assertFalse(health.isAvoided())
+        health.unreachable()
+        time += 301.milliseconds
+        assertTrue(health.isAvoided())
+        health.answered(10, 10.0)
+        assertFalse(health.isAvoided())
+    }
+
+    @Test
+    fun `the time of avoidance is bounded`() {
+        repeat(50) { health.unreachable() }
+        time += 2_401.milliseconds
+        assertFalse(health.isAvoided())
+    }
+
+    @Test
+    fun `failures and slowness lose weight with time`() {
+        repeat(20) { health.failed() }
+        repeat(20) { health.answered(200, 20.0) }
+        val slowness = health.slowness()
+        assertTrue(slowness > 5)
+        time += 40.seconds
+        assertEquals(1.0, health.slowness(), 0.1)
+        assertEquals(0.0, health.failureShare(), 0.01)
+    }
+}
--- /dev/null
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/StageBalanceSpec.kt
@@ -0,0 +1,28 @@
+package io.knapweedferry.policy.routing
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** Guards against a fleet without engines that read prompts, or with too many of them. */
+internal class StageBalanceSpec {
+    private data class Case(
+        val engines: Int,
+        val prefill: Map<String, List<String>>,
+        val surplus: List<String>,
+    )
+
+    private val cases =
+        listOf(
+            Case(13, mapOf("a" to listOf("a1", "a2"), "b" to listOf("b1", "b2"), "c" to listOf("c1")), listOf("a2", "b2")),
+            Case(13, mapOf("a" to listOf("a1", "a2", "a3")), emptyList()),
+            Case(6, mapOf("a" to listOf("a1"), "b" to listOf("b1")), listOf("a1")),
+            Case(2, mapOf("a" to listOf("a1")), emptyList()),
+            Case(1, mapOf("a" to listOf("a1")), listOf("a1")),
+            Case(5, emptyMap(), emptyList()),
+        )
+
+    @Test
+    fun `surplus engines leave the prefill stage from the zones with the most of them`() {
+        cases.forEach { assertEquals(it.surplus, StageBalance.surplus(it.engines, it.prefill), "$it") }
+    }
+}
