--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -2,7 +2,6 @@
 
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.fleet.EndpointChooser
-import io.knapweedferry.routing.fleet.PeerLoads
 import io.knapweedferry.routing.fleet.RetryAllowances
 import io.knapweedferry.routing.fleet.StageDuty
 import io.knapweedferry.routing.fleet.StageKeeper
@@ -51,7 +50,7 @@
         CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
     private val scope = CoroutineScope(SupervisorJob() + loop + failures)
     private val pool = EndpointPool(group, dialect)
-    private val chooser = EndpointChooser(settings.zone, PeerLoads.NONE, TimeSource.Monotonic)
+    private val chooser = EndpointChooser(settings.zone, TimeSource.Monotonic)
     private val allowances = RetryAllowances(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
     private val recorder = CallRecorder(events, metrics)
     private val attempts = Attempts(pool, chooser, dialect, scope)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntrySettings.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntrySettings.kt
@@ -6,7 +6,6 @@
 
 /** Settings of an entry that routes requests by host and path. */
 public data class RoutedEntrySettings(
-    val name: String,
     val zone: AvailabilityZone,
     /** Address for callers. */
     val callerAddress: InetSocketAddress,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -12,8 +12,6 @@
     val maxOutputTokens: Int,
     /** Caller's estimate of the tokens of the answer. */
     val expectedOutputTokens: Int?,
-    /** Parts that the prompt consists of, in order. */
-    val prefix: List<PrefixPart>,
     /** Last event that the caller has of a stream that broke off. */
     val lastEventId: String?,
 ) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
@@ -14,7 +14,6 @@
 /** Chooses endpoints by the estimated wait. Confined to the event loop. */
 internal class EndpointChooser(
     private val zone: AvailabilityZone,
-    private val peers: PeerLoads,
     private val timeSource: TimeSource,
     private val random: Random = Random.Default,
 ) {
@@ -64,7 +63,7 @@
     ): EndpointCondition {
         val ledger = ledger(endpoint.id)
         return EndpointCondition(
-            load = ledger.load + peers.at(endpoint.id),
+            load = ledger.load,
             slots = endpoint.slots.coerceAtLeast(1),
             kvCapacityTokens = kvCapacityTokens,
             isSameZone = endpoint.zone == zone,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/BodyMemory.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/BodyMemory.kt
@@ -8,8 +8,6 @@
 ) {
     private val used = AtomicLong()
 
-    val usedBytes: Long get() = used.get()
-
     /** False if [bytes] more would exceed the bound. */
     fun reserve(bytes: Int): Boolean {
         val now = used.addAndGet(bytes.toLong())
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/ServiceProfile.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/ServiceProfile.kt
@@ -5,8 +5,6 @@
 /** What all endpoints of one service have in common. */
 public data class ServiceProfile(
     val name: ServiceName,
-    /** Connections that one endpoint accepts from all routers together. */
-    val maxConnections: Int,
     /** Null for a plain service. */
     val engine: EngineProfile?,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
@@ -20,8 +20,6 @@
     private val answer: PendingAnswer,
     private val dialect: CallDialect,
 ) : AutoCloseable {
-    val elapsedMs: Long get() = entry.elapsedMs
-
     suspend fun head(): Either<AttemptFailure, AnswerHead> =
         answer
             .head()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -8,8 +8,6 @@
 import io.knapweedferry.routing.model.RoutingView
 import io.knapweedferry.routing.model.RoutingViewHolder
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
 
@@ -38,7 +36,6 @@
             recorder.callerGone(record)
             throw cancelled
         }
-        currentCoroutineContext().ensureActive()
     }
 
     /** Null if the request was refused. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingSettings.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingSettings.kt
@@ -12,8 +12,6 @@
     val patienceFactor: Double = 1.0,
     /** A resumable stream without an event is resumed elsewhere after this multiple of its target pause. */
     val pausePatienceFactor: Double = 4.0,
-    /** True to have prompts read by engines of the prefill stage. */
-    val readsPromptsApart: Boolean = true,
     /** Connections that one request may fail to open before it is refused. */
     val maxUnreachable: Int = 4,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -99,8 +99,7 @@
         }
 
         private fun classify(answer: WholeAnswer): PlainResult {
-            // A success without proof of its origin may come from anywhere.
-            if (answer.status in SUCCESSES && !dialect.isSigned(answer.headers)) return PlainResult.Lost("unsigned")
+            if (SignedSuccess.isMissing(dialect, answer.status, answer.headers)) return PlainResult.Lost("unsigned")
             if (!dialect.isNotRun(answer.status, answer.headers)) return PlainResult.Answered(answer)
             record.noteNotRun()
             return PlainResult.NotRun
@@ -142,6 +141,5 @@
 
     private companion object {
         const val STATUS_SERVER_ERROR = 500
-        val SUCCESSES = 200..299
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -96,7 +96,7 @@
             return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt) })
         }
 
-        private fun wantsPrefill() = settings.readsPromptsApart && relay.lastEventId == null && record.sentCount == 0
+        private fun wantsPrefill() = relay.lastEventId == null && record.sentCount == 0
 
         /** A request is given up a little before its caller abandons it, so that the caller learns that it may come back. */
         private fun waitMs(): Long = if (job.reply.hasBegun) job.remainingMs else job.untilAbandonedMs - GIVE_UP_MARGIN_MS
@@ -144,6 +144,7 @@
                 record.noteNotRun()
                 return Step.Again("not_run", LocalAnswer.ENDPOINTS_FULL)
             }
+            if (SignedSuccess.isMissing(dialect, head.status, head.headers)) return Step.Again("unsigned", LocalAnswer.ANSWER_LOST)
             if (head.status != STATUS_OK) return failed(attempt, head)
             if (!job.reply.hasBegun) job.reply.begin(head.status, dialect.callerHeaders(head.headers))
             return relay(attempt)
