Charge failed prefills to the retry budget

A prefill that no engine accepts counts against the fleet's budget and was not drawn from it. Change: it draws on the budget; without budget the prompt is read in place.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -42,6 +42,7 @@
         private val candidates: () -> List<RoutedEndpoint>,
     ) {
         private val record = job.record
+        private val budget = allowances.of(job.service.name)
         private val tried = HashSet<EndpointId>()
         private val relay = EventRelay(job, settings, ::canGoElsewhere)
         private var refusal = LocalAnswer.NO_ENDPOINT
@@ -116,13 +117,18 @@
 
         /** Has the prompt read by a prefill engine; without a result the decode engine reads it itself. */
         private suspend fun readPrompt(): KvSourceRef? {
+            // The fleet's budget counts every prefill that brings no result.
+            if (budget.available() == 0) return null
             val prefill = chooser.chooseEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, false) ?: return null
             val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
             val patienceMs =
                 minOf(job.remainingMs, ((usualReadMs(EndpointStage.PREFILL) + FIRST_TOKEN_BASE_MS) * PREFILL_PATIENCE_FACTOR).toLong())
             val answer = withTimeoutOrNull(patienceMs) { attempts.whole(record, prefill, terms, plan(prefill, false)) }
             val handle = answer?.getOrNull()?.takeIf { it.status == STATUS_OK }?.let { dialect.readKvHandle(it.body) }
-            if (handle == null) recorder.retried(record, "prefill_failed")
+            if (handle == null) {
+                budget.tryRetry()
+                recorder.retried(record, "prefill_failed")
+            }
             return handle?.let { KvSourceRef(prefill.endpoint.address, it) }
         }
 
@@ -179,13 +185,13 @@
         private fun canGoElsewhere(): Boolean =
             job.route.isResumable &&
                 record.sentCount < job.route.maxAttempts &&
-                allowances.of(job.service.name).available() > 0 &&
+                budget.available() > 0 &&
                 candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
 
         private fun mayRetry(step: Step.Again): Boolean {
             val ran = step.refusal != LocalAnswer.ENDPOINTS_FULL
             if (ran && !job.route.isResumable) return false
-            return record.sentCount < job.route.maxAttempts && allowances.of(job.service.name).tryRetry()
+            return record.sentCount < job.route.maxAttempts && budget.tryRetry()
         }
 
         private fun giveUp() {
