Ask an engine again at once for a smaller reservation than it refused

It counted as full for every request although it had refused only a larger reservation with head room. Ruled out: the round trip (20 of 37 waits without a refusal end below 40 ms).

Change: a refusal holds for reservations of that size or more.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -57,7 +57,7 @@
 
     private inner class Queue {
         private val tickets = ArrayList<GateTicket>()
-        private val fullSince = HashMap<EndpointId, TimeMark>()
+        private val refusals = HashMap<EndpointId, Refusal>()
         private val wakeUps = Channel<Unit>(Channel.CONFLATED)
         private var running = false
 
@@ -87,15 +87,16 @@
         }
 
         fun noteRoom(endpoint: EndpointId) {
-            fullSince.remove(endpoint)
+            refusals.remove(endpoint)
             wakeUps.trySend(Unit)
         }
 
         private suspend fun grantNext(engine: EngineProfile) {
             val ticket = tickets.min()
+            val tokens = ticket.neededTokens(engine)
             val choice =
                 chooser.chooseEngine(
-                    ticket.engines().filterNot(::isFull),
+                    ticket.engines().filterNot { refuses(it, tokens) },
                     EndpointStage.DECODE,
                     ticket.job.call.traits,
                     engine,
@@ -105,9 +106,9 @@
                 withTimeoutOrNull(FULL_MS) { wakeUps.receive() }
                 return
             }
-            val admission = reserve(ticket, choice, engine)
+            val admission = reserve(tokens, choice, engine)
             if (admission == null) {
-                fullSince[choice.endpoint.id] = timeSource.markNow()
+                refusals[choice.endpoint.id] = Refusal(tokens, timeSource.markNow())
             } else if (ticket in tickets) {
                 tickets -= ticket
                 ticket.granted.complete(admission)
@@ -116,18 +117,25 @@
             }
         }
 
-        private fun isFull(endpoint: RoutedEndpoint): Boolean =
-            fullSince[endpoint.id]?.let { it.elapsedNow().inWholeMilliseconds < FULL_MS } ?: false
+        /** An engine that had no room for a large reservation may have room for a smaller one. */
+        private fun refuses(
+            endpoint: RoutedEndpoint,
+            tokens: Int,
+        ): Boolean = refusals[endpoint.id]?.let { tokens >= it.tokens && it.since.elapsedNow().inWholeMilliseconds < FULL_MS } ?: false
     }
 
+    /** Reservation of [tokens] for which an engine had no room. */
+    private class Refusal(
+        val tokens: Int,
+        val since: TimeMark,
+    )
+
     private suspend fun reserve(
-        ticket: GateTicket,
+        tokens: Int,
         choice: Choice,
         engine: EngineProfile,
     ): Admission? {
         val maxTtlMs = engine.maxReservationMs ?: return Admission(choice, null)
-        // The reservation ends when the run begins, so the head room is only asked for and not kept.
-        val tokens = ticket.job.call.traits.kvTokens + (engine.kvCapacityTokens * ticket.headRoomShare).toInt()
         val request = dialect.reserve(tokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
         val answer = attempts.control(choice.endpoint, request, RESERVE_TIMEOUT_MS)
         val granted =
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.routing.pipeline
 
 import io.knapweedferry.api.EndpointId
+import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -30,11 +31,14 @@
     /** Streams in progress first, then requests that can still meet their target, then those whose callers come back no more. */
     override fun compareTo(other: GateTicket): Int = ORDER.compare(this, other)
 
+    /** Reservation to ask for. It ends when the run begins, so the head room is only asked for and not kept. */
+    fun neededTokens(engine: EngineProfile): Int = job.call.traits.kvTokens + (engine.kvCapacityTokens * headRoomShare).toInt()
+
     /**
      * Share of an engine's KV cache that must stay free beside this request. Less urgent requests, and those that are late
      * already, leave room for more urgent ones that any entry may receive; a late one insists more as its end comes near.
      */
-    val headRoomShare: Double
+    private val headRoomShare: Double
         get() =
             when (group) {
                 GROUP_RESUMED -> 0.0
