Fill engines one after another instead of evenly

Ruled out: the order of the queue (a large request is asked for first by its entry; other entries' small ones take the room).

Change: less urgent requests begin at one end of an order of engines that all entries derive from the ids, urgent ones at the other end.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
@@ -4,6 +4,7 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.policy.routing.EndpointCondition
 import io.knapweedferry.policy.routing.EndpointCost
+import io.knapweedferry.policy.routing.FillOrder
 import io.knapweedferry.routing.call.CallTraits
 import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.EngineProfile
@@ -29,18 +30,18 @@
     fun choosePlain(candidates: List<RoutedEndpoint>): Choice? =
         cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_USUAL_MS) }
 
-    /** Chooses an engine of [stage] for a whole run, or for its prefill only. */
+    /** Chooses an engine of [stage] for a whole run, or for its prefill only; without [order] all engines are equal. */
     fun chooseEngine(
         candidates: List<RoutedEndpoint>,
         stage: EndpointStage,
         traits: CallTraits,
         profile: EngineProfile,
-        isPromptRead: Boolean,
+        order: FillOrder?,
     ): Choice? {
-        val unread = if (isPromptRead) 0 else traits.promptTokens
         val rate = if (stage == EndpointStage.PREFILL) PREFILL_TOKENS_PER_MS else DECODE_READ_TOKENS_PER_MS
         return cheapest(candidates.filter { it.stage == stage }) {
-            EndpointCost.engine(condition(it, profile.kvCapacityTokens), unread, traits.kvTokens, rate)
+            val orderMs = order?.costMs(it.id.value) ?: 0.0
+            orderMs + EndpointCost.engine(condition(it, profile.kvCapacityTokens), traits.promptTokens, traits.kvTokens, rate)
         }
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -100,7 +100,7 @@
                     EndpointStage.DECODE,
                     ticket.job.call.traits,
                     engine,
-                    false,
+                    ticket.fillOrder,
                 )
             if (choice == null) {
                 withTimeoutOrNull(FULL_MS) { wakeUps.receive() }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.routing.pipeline
 
 import io.knapweedferry.api.EndpointId
+import io.knapweedferry.policy.routing.FillOrder
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
 import kotlinx.coroutines.CompletableDeferred
@@ -31,6 +32,8 @@
     /** Streams in progress first, then requests that can still meet their target, then those whose callers come back no more. */
     override fun compareTo(other: GateTicket): Int = ORDER.compare(this, other)
 
+    val fillOrder: FillOrder get() = if (isResumed || job.route.priority == 0) FillOrder.FROM_BACK else FillOrder.FROM_FRONT
+
     /** Reservation to ask for. It ends when the run begins, so the head room is only asked for and not kept. */
     fun neededTokens(engine: EngineProfile): Int = job.call.traits.kvTokens + (engine.kvCapacityTokens * headRoomShare).toInt()
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -130,7 +130,7 @@
         private suspend fun readPrompt(): KvSourceRef? {
             // The fleet's budget counts every prefill that brings no result.
             if (budget.available() == 0) return null
-            val prefill = chooser.chooseEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, false) ?: return null
+            val prefill = chooser.chooseEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, null) ?: return null
             val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
             val patienceMs =
                 minOf(job.remainingMs, ((usualReadMs(EndpointStage.PREFILL) + FIRST_TOKEN_BASE_MS) * PREFILL_PATIENCE_FACTOR).toLong())
