--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/CallerProbe.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/CallerProbe.kt
@@ -32,8 +32,7 @@
         try {
             written[WRITE_TIMEOUT_MS, TimeUnit.MILLISECONDS]
         } catch (failed: ExecutionException) {
-            if (failed.cause is IOException) throw CallerGoneException(failed)
-            throw failed
+            throw (failed.cause as? IOException)?.let { CallerGoneException(it) } ?: failed
         } catch (stalled: TimeoutException) {
             throw CallerGoneException(stalled)
         }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -42,6 +42,7 @@
         private val candidates: () -> List<RoutedEndpoint>,
     ) {
         private val record = job.record
+        private val times = RunTimes(job)
         private val budget = allowances.of(job.service.name)
         private val tried = HashSet<EndpointId>()
         private val relay = EventRelay(job, settings, ::canGoElsewhere)
@@ -77,8 +78,8 @@
 
         /** Null if no engine had room in time. */
         private suspend fun attemptOnce(): Step? {
-            val ticket = GateTicket(job, job.reply.hasBegun, firstEventMs(), candidates, tried)
-            val admission = gate.admit(ticket, engine, waitMs())
+            val ticket = GateTicket(job, job.reply.hasBegun, times.firstEventMs, candidates, tried)
+            val admission = gate.admit(ticket, engine, times.usefulWaitMs)
             if (admission == null) {
                 record.note("no_room:${gate.waiting(job.service.name)}")
                 refusal = LocalAnswer.ENDPOINTS_FULL
@@ -99,20 +100,6 @@
 
         private fun wantsPrefill() = relay.lastEventId == null && record.sentCount == 0
 
-        /**
-         * Room is of use only while a run that begins then can deliver its first event before the caller abandons the stream, and
-         * its last one before the deadline. A request that cannot is given up at once, so that its caller may come back.
-         */
-        private fun waitMs(): Long {
-            if (job.reply.hasBegun) return job.remainingMs
-            val usableMs = minOf(job.untilAbandonedMs - firstEventMs() * QUEUED_READ_FACTOR, job.remainingMs - usualRunMs())
-            return usableMs.toLong() - GIVE_UP_MARGIN_MS
-        }
-
-        private fun firstEventMs(): Double = usualReadMs(EndpointStage.DECODE) + FIRST_TOKEN_BASE_MS
-
-        private fun usualRunMs(): Double = firstEventMs() + job.call.traits.likelyOutputTokens * RUN_MS_PER_TOKEN
-
         private suspend fun follow(
             choice: Choice,
             attempt: Attempt,
@@ -133,7 +120,10 @@
             val prefill = chooser.chooseEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, null) ?: return null
             val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
             val patienceMs =
-                minOf(job.remainingMs, ((usualReadMs(EndpointStage.PREFILL) + FIRST_TOKEN_BASE_MS) * PREFILL_PATIENCE_FACTOR).toLong())
+                minOf(
+                    job.remainingMs,
+                    ((times.readMs(EndpointStage.PREFILL) + RunTimes.FIRST_TOKEN_BASE_MS) * PREFILL_PATIENCE_FACTOR).toLong(),
+                )
             val answer = withTimeoutOrNull(patienceMs) { attempts.whole(record, prefill, terms, plan(prefill, false)) }
             val handle = answer?.getOrNull()?.takeIf { it.status == STATUS_OK }?.let { dialect.readKvHandle(it.body) }
             if (handle == null) {
@@ -224,22 +214,10 @@
             return AttemptPlan(
                 kvTokens = job.call.traits.kvTokens,
                 unreadTokens = unread,
-                usualMs = FIRST_TOKEN_BASE_MS + (if (isPromptRead) 0.0 else usualReadMs(stage)),
+                usualMs = RunTimes.FIRST_TOKEN_BASE_MS + (if (isPromptRead) 0.0 else times.readMs(stage)),
                 maxIdleMs = if (job.route.isResumable) Long.MAX_VALUE else settings.unrepeatableMaxIdleMs,
             )
         }
-
-        private fun usualReadMs(stage: EndpointStage): Double {
-            val rate =
-                if (stage ==
-                    EndpointStage.PREFILL
-                ) {
-                    EndpointChooser.PREFILL_TOKENS_PER_MS
-                } else {
-                    EndpointChooser.DECODE_READ_TOKENS_PER_MS
-                }
-            return job.call.traits.promptTokens / rate
-        }
     }
 
     private sealed interface Step {
@@ -256,18 +234,6 @@
     private companion object {
         const val STATUS_OK = 200
 
-        /** Set-up and first step of an engine. */
-        const val FIRST_TOKEN_BASE_MS = 40.0
-
-        /** Time per token of an engine with some requests in its batch; the platform's engines take 2.6 ms and more for a step. */
-        const val RUN_MS_PER_TOKEN = 3.0
-
-        /** Prompts queue behind others at the engine that reads them. */
-        const val QUEUED_READ_FACTOR = 2.0
-
-        /** Time for a refusal to reach its caller. */
-        const val GIVE_UP_MARGIN_MS = 150L
-
         /** A prefill that takes this many times longer than alone is queued behind others; the decode engine then reads the prompt. */
         const val PREFILL_PATIENCE_FACTOR = 8.0
     }
