Let a stopping session server ask its peers to close first

Cause: a process that stops closed its sessions when nothing ran. Ruled out: work that was cut, as the sidecar waits for its work before it closes. Change: the server sends go_away, peers open no further exchange on that session and close it when theirs have ended; the server waits for that, at most one heartbeat timeout.

--- a/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ClientSession.kt
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ClientSession.kt
@@ -63,6 +63,7 @@
         when (frame) {
             is Frame.Reply -> deliver(frame)
             is Frame.End -> end(frame)
+            is Frame.GoAway -> retire()
             is Frame.Heartbeat -> Unit
             is Frame.Request, is Frame.Abandon -> return CloseReason.FRAME_UNEXPECTED
         }
--- a/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/Frame.kt
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/Frame.kt
@@ -38,6 +38,11 @@
         val exchange: Long,
     ) : Frame
 
+    /** The side that accepted is stopping: the other opens no further exchange and closes the session once its exchanges have ended. */
+    @Serializable
+    @SerialName("go_away")
+    data object GoAway : Frame
+
     /** Shows that the sender lives. */
     @Serializable
     @SerialName("heartbeat")
--- a/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ServerSession.kt
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/ServerSession.kt
@@ -26,12 +26,15 @@
 
     suspend fun awaitWritten() = connection.awaitWritten()
 
+    /** Asks the peer to close the session, which alone knows when no request of its own is under way. */
+    fun goAway() = connection.post(FrameCodec.encode(Frame.GoAway))
+
     override fun accept(frame: Frame): CloseReason? {
         when (frame) {
             is Frame.Request -> return begin(frame)
             is Frame.Abandon -> exchanges.remove(frame.exchange)?.close()
             is Frame.Heartbeat -> Unit
-            is Frame.Reply, is Frame.End -> return CloseReason.FRAME_UNEXPECTED
+            is Frame.Reply, is Frame.End, is Frame.GoAway -> return CloseReason.FRAME_UNEXPECTED
         }
         return null
     }
--- a/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SessionServer.kt
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SessionServer.kt
@@ -8,6 +8,9 @@
     /** Stops accepting new sessions; open ones go on. */
     public fun stopAccepting()
 
-    /** Suspends until no exchange runs and the last replies are written, so that [close] cuts nothing off. */
+    /**
+     * Suspends until no exchange runs, the last replies are written and the peers have closed their sessions, so that [close]
+     * cuts nothing off and crosses with no request. A peer that does not close its session is not waited for.
+     */
     public suspend fun drain()
 }
--- a/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SocketSessionServer.kt
+++ b/knapweedferry-session/src/main/kotlin/io/knapweedferry/session/SocketSessionServer.kt
@@ -50,8 +50,15 @@
     }
 
     override suspend fun drain() {
+        sessions.forEach { it.goAway() }
         running.first { it == 0 }
         sessions.forEach { it.awaitWritten() }
+        // A peer that is silent for longer than this counts as lost anyway.
+        withTimeoutOrNull(settings.heartbeatTimeoutMs) { awaitPeersGone() }
+    }
+
+    private suspend fun awaitPeersGone() {
+        while (sessions.isNotEmpty()) delay(PEERS_GONE_CHECK_MS)
     }
 
     override fun close() {
@@ -107,6 +114,7 @@
         val session = ServerSession(wire, peer, context, handler, running) { sessions.remove(it) }
         sessions.add(session)
         session.start()
+        if (!accepting) session.goAway()
     }
 
     private suspend fun handshakeResult(wire: Wire) =
@@ -120,6 +128,7 @@
         /** Bounds what peers that have proved nothing can occupy. */
         private const val MAX_HANDSHAKES = 256
         private const val ACCEPT_RETRY_MS = 100L
+        private const val PEERS_GONE_CHECK_MS = 5L
 
         suspend fun listen(
             settings: SessionSettings,
--- a/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/SessionSpec.kt
+++ b/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/SessionSpec.kt
@@ -16,6 +16,7 @@
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.awaitCancellation
@@ -212,6 +213,53 @@
         }
     }
 
+    /** A process that restarts must not lose requests that cross its closing: their callers could not tell whether they ran. */
+    @Test
+    fun `a server that stops under load loses no exchange`() {
+        val ends =
+            (1..STOPPED_SERVERS).flatMap {
+                runBlocking {
+                    val server = Sessions.server(settings("server"), { _, _, replies -> replies.send(offer(1)) }, counters = counters)
+                    Sessions.client(settings("client"), counters).use { client ->
+                        withTimeout(LIMIT_MS) {
+                            val callers = List(CALLERS) { async(Dispatchers.Default) { askUntilRefused(client, "127.0.0.1:${server.port}") } }
+                            delay(STOP_AFTER_MS)
+                            server.stopAccepting()
+                            server.drain()
+                            server.close()
+                            callers.awaitAll()
+                        }
+                    }
+                }
+            }
+        assertEquals(emptyList<SessionError>(), ends.filterIsInstance<SessionError.Lost>())
+        assertEquals(STOPPED_SERVERS * CALLERS, ends.size)
+    }
+
+    @Test
+    fun `a server that stops does not wait for a peer that ignores it`() =
+        runBlocking {
+            val server = Sessions.server(settings("server"), { _, _, _ -> }, counters = counters)
+            RawPeer().use { peer ->
+                val socket = peer.connect(server.port)
+                ClientHandshake(settings("client")).run(Wire(socket.openReadChannel(), socket.openWriteChannel(), socket::close))
+                counters.await("opened")
+                server.stopAccepting()
+                withTimeout(LIMIT_MS) { server.drain() }
+                server.close()
+            }
+        }
+
+    private suspend fun askUntilRefused(
+        client: SessionClient,
+        address: String,
+    ): SessionError {
+        while (true) {
+            val exchange = client.open(address, Describe).fold({ return it }, { it })
+            while (true) exchange.receive().fold({ return it }, { it }) ?: break
+        }
+    }
+
     @Test
     fun `a port that is taken is reported to the second server`() =
         serving({ _, _, _ -> }) { _, address ->
@@ -282,6 +330,9 @@
 
     private companion object {
         const val LIMIT_MS = 10_000L
+        const val STOPPED_SERVERS = 20
+        const val CALLERS = 8
+        const val STOP_AFTER_MS = 30L
         val KEY = SessionKey(ByteArray(32) { 1 })
         val large = Tokens(RequestId("r"), 1, 0, listOf("x".repeat(70_000)))
     }
