--- a/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/SessionSpec.kt
+++ b/knapweedferry-session/src/test/kotlin/io/knapweedferry/session/SessionSpec.kt
@@ -222,7 +222,8 @@
                     val server = Sessions.server(settings("server"), { _, _, replies -> replies.send(offer(1)) }, counters = counters)
                     Sessions.client(settings("client"), counters).use { client ->
                         withTimeout(LIMIT_MS) {
-                            val callers = List(CALLERS) { async(Dispatchers.Default) { askUntilRefused(client, "127.0.0.1:${server.port}") } }
+                            val callers =
+                                List(CALLERS) { async(Dispatchers.Default) { askUntilRefused(client, "127.0.0.1:${server.port}") } }
                             delay(STOP_AFTER_MS)
                             server.stopAccepting()
                             server.drain()
