Reserve what a run needs and give head room back at once

Cause: a reservation is kept for the whole run (an engine's report showed, beside a run of 2,636 tokens, 9,651 more set aside), while the code took it to end when the run begins. Ruled out: too few engines in the decode stage, the order of the queue. Change: the reservation is the prompt and the likely answer with 200 tokens to spare; head room is reserved apart to see that it is there, and released at once. All requests ask for 3% of the engine as room for growth.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -19,8 +19,13 @@
     val likelyOutputTokens: Int get() = minOf(expectedOutputTokens ?: maxOutputTokens, maxOutputTokens)
 
     /**
-     * KV cache to reserve for the whole run. Halfway between the caller's estimate and the upper bound of the answer, because
-     * the engine grants reservations by what its other runs occupy now, and those still grow.
+     * KV cache to reserve, which stays set aside until the run has grown into it or ended. A run that grows beyond it uses room
+     * that is kept free for growth.
      */
-    val kvTokens: Int get() = promptTokens + (likelyOutputTokens + maxOutputTokens) / 2
+    val kvTokens: Int get() = promptTokens + minOf(maxOutputTokens, likelyOutputTokens + SPARE_OUTPUT_TOKENS)
+
+    private companion object {
+        /** Beside the likely answer, as estimates of short answers are often too low. */
+        const val SPARE_OUTPUT_TOKENS = 200
+    }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -106,7 +106,7 @@
                 withTimeoutOrNull(FULL_MS) { wakeUps.receive() }
                 return
             }
-            val admission = reserve(tokens, choice, engine)
+            val admission = reserve(ticket, choice, engine)
             if (admission == null) {
                 refusals[choice.endpoint.id] = Refusal(tokens, timeSource.markNow())
             } else if (ticket in tickets) {
@@ -130,14 +130,29 @@
         val since: TimeMark,
     )
 
+    /** Reserves what the run of [ticket] needs if its head room is free as well, which is asked for and given back at once. */
     private suspend fun reserve(
-        tokens: Int,
+        ticket: GateTicket,
         choice: Choice,
         engine: EngineProfile,
     ): Admission? {
         val maxTtlMs = engine.maxReservationMs ?: return Admission(choice, null)
-        val request = dialect.reserve(tokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
-        val answer = attempts.control(choice.endpoint, request, RESERVE_TIMEOUT_MS)
+        val admission = take(choice, ticket.reservedTokens, minOf(RESERVATION_TTL_MS, maxTtlMs)) ?: return null
+        val headRoom = take(choice, ticket.headRoomTokens(engine), minOf(HEAD_ROOM_TTL_MS, maxTtlMs))
+        if (headRoom == null) {
+            release(admission)
+            return null
+        }
+        release(headRoom)
+        return admission
+    }
+
+    private suspend fun take(
+        choice: Choice,
+        tokens: Int,
+        ttlMs: Long,
+    ): Admission? {
+        val answer = attempts.control(choice.endpoint, dialect.reserve(tokens, ttlMs), RESERVE_TIMEOUT_MS)
         val granted =
             answer.getOrElse {
                 chooser.ledger(choice.endpoint.id).health.unreachable()
@@ -161,6 +176,9 @@
         /** Covers a prefill at another engine; the platform bounds it to 2 s. */
         const val RESERVATION_TTL_MS = 1_000L
 
+        /** Bounds what a lost release of head room costs. */
+        const val HEAD_ROOM_TTL_MS = 100L
+
         /** An engine answers within some ms. */
         const val RESERVE_TIMEOUT_MS = 150L
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -34,13 +34,18 @@
 
     val fillOrder: FillOrder get() = if (isResumed || job.route.priority == 0) FillOrder.FROM_BACK else FillOrder.FROM_FRONT
 
-    /** Reservation to ask for. It ends when the run begins, so the head room is only asked for and not kept. */
-    fun neededTokens(engine: EngineProfile): Int = job.call.traits.kvTokens + (engine.kvCapacityTokens * headRoomShare).toInt()
+    /** Reservation to ask for, which the engine keeps for the whole run. */
+    val reservedTokens: Int get() = job.call.traits.kvTokens
 
     /**
-     * Share of an engine's KV cache that must stay free beside this request. Less urgent requests, and those that are late
-     * already, leave room for more urgent ones that any entry may receive; a late one insists more as its end comes near.
+     * KV cache of [engine] that must be free beside the reservation and stays free: room in which the runs there grow beyond
+     * what they reserved, and room for more urgent requests that any entry may receive. Those that are late already leave room
+     * too; a late one insists more as its end comes near.
      */
+    fun headRoomTokens(engine: EngineProfile): Int = (engine.kvCapacityTokens * (GROWTH_SHARE + headRoomShare)).toInt()
+
+    fun neededTokens(engine: EngineProfile): Int = reservedTokens + headRoomTokens(engine)
+
     private val headRoomShare: Double
         get() =
             when (group) {
@@ -65,6 +70,9 @@
         const val GROUP_LAST_CHANCE = 2
         const val GROUP_LATE = 3
 
+        /** Growth of the runs of a full engine beyond their reservations; without it engines interrupt runs. */
+        const val GROWTH_SHARE = 0.03
+
         /** About a third of a typical request's share of an engine. */
         const val HEAD_ROOM_PER_PRIORITY = 0.04
 
