--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -52,16 +52,19 @@
         recorder.refused(record, answer)
     }
 
-    /** Callers wait for up to a third of the time that they have left. */
+    /**
+     * Callers wait for up to a third of the time that they have left. Engines that were full for as long as a model request
+     * could wait stay full for seconds, so its caller had better come back as late as that; a plain service is soon free again.
+     */
     private fun retryAfterMs(): Long {
-        val wantedMs = min(route.targetLatencyMs / 2, MAX_RETRY_AFTER_MS)
-        return min(wantedMs, remainingMs / RETRY_PARTS).coerceAtLeast(MIN_RETRY_AFTER_MS)
+        val longestMs = remainingMs / RETRY_PARTS
+        if (service.engine != null) return longestMs.coerceAtLeast(MIN_RETRY_AFTER_MS)
+        return min(route.targetLatencyMs / 2, longestMs).coerceAtLeast(MIN_RETRY_AFTER_MS)
     }
 
     private companion object {
         /** Below the time that an endpoint needs to finish one request, a repeat finds the same situation. */
         const val MIN_RETRY_AFTER_MS = 40L
-        const val MAX_RETRY_AFTER_MS = 1_000L
         const val RETRY_PARTS = 4
 
         /** First deadlines of callers lie between six sevenths of the route's timeout and the whole. */
