--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
@@ -1,5 +1,6 @@
 package io.knapweedferry.routing.call
 
+import io.knapweedferry.api.EndpointId
 import io.netty.handler.codec.http.HttpHeaders
 
 /** Translates between this router and the headers that callers and endpoints of one deployment use. */
@@ -43,8 +44,9 @@
     /** Frees a KV cache that nobody will fetch. */
     public fun releaseKv(handle: String): ControlRequest
 
-    /** Request that reserves a slot and [tokens] of KV cache at an engine for [ttlMs]. */
+    /** Request that reserves a slot and [tokens] of KV cache at the engine [endpoint] for [ttlMs]. */
     public fun reserve(
+        endpoint: EndpointId,
         tokens: Int,
         ttlMs: Long,
     ): ControlRequest
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -22,7 +22,7 @@
      * KV cache to reserve, which stays set aside until the run has grown into it or ended. A run that grows beyond it uses room
      * that is kept free for growth.
      */
-    val kvTokens: Int get() = promptTokens + minOf(maxOutputTokens, likelyOutputTokens + SPARE_OUTPUT_TOKENS)
+    val kvTokens: Int get() = promptTokens + minOf(maxOutputTokens, likelyOutputTokens * 5 / 4 + SPARE_OUTPUT_TOKENS)
 
     private companion object {
         /** Beside the likely answer, as estimates of short answers are often too low. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -152,12 +152,13 @@
         tokens: Int,
         ttlMs: Long,
     ): Admission? {
-        val answer = attempts.control(choice.endpoint, dialect.reserve(tokens, ttlMs), RESERVE_TIMEOUT_MS)
+        val answer = attempts.control(choice.endpoint, dialect.reserve(choice.endpoint.id, tokens, ttlMs), RESERVE_TIMEOUT_MS)
         val granted =
             answer.getOrElse {
                 chooser.ledger(choice.endpoint.id).health.unreachable()
                 return null
             }
+        if (dialect.isWrongEndpoint(granted.status, granted.headers)) chooser.ledger(choice.endpoint.id).health.unreachable()
         if (granted.status != STATUS_OK) return null
         return dialect.readReservation(granted.body)?.let { Admission(choice, it) }
     }
@@ -173,8 +174,8 @@
         /** An engine without room is asked again after this time, or when a run of this entry there ends. */
         const val FULL_MS = 150L
 
-        /** Covers a prefill at another engine; the platform bounds it to 2 s. */
-        const val RESERVATION_TTL_MS = 1_000L
+        /** Covers a prefill that is queued at another engine; the platform bounds it to 2 s. */
+        const val RESERVATION_TTL_MS = 2_000L
 
         /** Bounds what a lost release of head room costs. */
         const val HEAD_ROOM_TTL_MS = 100L
