Ask for less head room beside a large request

Change: what a request needs beyond a typical one is taken off its head room; room for growth stays.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -42,7 +42,12 @@
      * what they reserved, and room for more urgent requests that any entry may receive. Those that are late already leave room
      * too; a late one insists more as its end comes near.
      */
-    fun headRoomTokens(engine: EngineProfile): Int = (engine.kvCapacityTokens * (GROWTH_SHARE + headRoomShare)).toInt()
+    fun headRoomTokens(engine: EngineProfile): Int {
+        val growth = engine.kvCapacityTokens * GROWTH_SHARE
+        // A large request would otherwise find room in one piece far less often than the others of its rank.
+        val excess = maxOf(0.0, reservedTokens - engine.kvCapacityTokens * TYPICAL_SHARE)
+        return (growth + maxOf(0.0, engine.kvCapacityTokens * headRoomShare - excess)).toInt()
+    }
 
     fun neededTokens(engine: EngineProfile): Int = reservedTokens + headRoomTokens(engine)
 
@@ -73,6 +78,9 @@
         /** Growth of the runs of a full engine beyond their reservations; without it engines interrupt runs. */
         const val GROWTH_SHARE = 0.03
 
+        /** Reservation of a typical request; engines of today hold about seven. */
+        const val TYPICAL_SHARE = 0.14
+
         /** About a third of a typical request's share of an engine. */
         const val HEAD_ROOM_PER_PRIORITY = 0.04
 
