--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallDialect.kt
@@ -41,9 +41,6 @@
     /** Name of the KV cache that a prefill left at its endpoint; null if the answer cannot be read. */
     public fun readKvHandle(body: ByteArray): String?
 
-    /** Frees a KV cache that nobody will fetch. */
-    public fun releaseKv(handle: String): ControlRequest
-
     /** Request that reserves a slot and [tokens] of KV cache at the engine [endpoint] for [ttlMs]. */
     public fun reserve(
         endpoint: EndpointId,
