Log and count how model requests wait for room at engines

Neither log nor metrics could tell requests that wait for a silent engine from requests that wait because engines are full, nor an engine that refuses runs from one without room.

Per request: time at the gate, requests ahead, reservations asked for and left unanswered. Histograms of reservations by outcome and of waits at the gate.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -50,7 +50,7 @@
         CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
     private val scope = CoroutineScope(SupervisorJob() + loop + failures)
     private val pool = EndpointPool(group, dialect)
-    private val chooser = EndpointChooser(settings.zone, TimeSource.Monotonic)
+    private val chooser = EndpointChooser(settings.zone, events, TimeSource.Monotonic)
     private val allowances = RetryAllowances(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
     private val recorder = CallRecorder(events, metrics)
     private val attempts = Attempts(pool, chooser, dialect, scope)
@@ -64,7 +64,7 @@
 
     private fun pipeline(): CallPipeline {
         val plain = PlainForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
-        val gate = EngineGate(attempts, chooser, dialect, scope)
+        val gate = EngineGate(attempts, chooser, dialect, scope, metrics)
         val stream = StreamForwarder(attempts, gate, chooser, allowances, dialect, recorder, settings.forwarding)
         return CallPipeline(views, plain, stream, allowances, dialect, recorder)
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
@@ -9,18 +9,20 @@
 import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.telemetry.EventLog
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
 /** Chooses endpoints by the estimated wait. Confined to the event loop. */
 internal class EndpointChooser(
     private val zone: AvailabilityZone,
+    private val events: EventLog,
     private val timeSource: TimeSource,
     private val random: Random = Random.Default,
 ) {
     private val ledgers = HashMap<EndpointId, EndpointLedger>()
 
-    fun ledger(id: EndpointId): EndpointLedger = ledgers.getOrPut(id) { EndpointLedger(timeSource) }
+    fun ledger(id: EndpointId): EndpointLedger = ledgers.getOrPut(id) { EndpointLedger(id, events, timeSource) }
 
     /** Forgets endpoints that are gone and have nothing in progress. */
     fun retain(known: Set<EndpointId>) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointLedger.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointLedger.kt
@@ -1,12 +1,20 @@
 package io.knapweedferry.routing.fleet
 
+import io.knapweedferry.api.EndpointId
 import io.knapweedferry.policy.routing.EndpointHealth
 import io.knapweedferry.policy.routing.EndpointLoad
+import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.LogEvent
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
-/** What this process has in progress at one endpoint, and how the endpoint did. Confined to the event loop. */
+/**
+ * What this process has in progress at one endpoint, and how the endpoint did. Writes a line whenever it begins or ends to
+ * avoid the endpoint. Confined to the event loop.
+ */
 internal class EndpointLedger(
+    private val id: EndpointId,
+    private val events: EventLog,
     private val timeSource: TimeSource,
 ) {
     val health = EndpointHealth(timeSource)
@@ -32,6 +40,7 @@
             if (answered) return
             answered = true
             unreadTokens = 0
+            noteRecovered()
             health.answered(elapsedMs, usualMs)
         }
 
@@ -46,6 +55,17 @@
 
     val isIdle: Boolean get() = open.isEmpty()
 
+    /** The endpoint accepted no connection, cut one off or did not answer during [what]. */
+    fun noteUnreachable(what: String) {
+        val wasAvoided = health.isAvoided()
+        health.unreachable()
+        if (!wasAvoided) events.write(LogEvent.ENDPOINT_UNREACHABLE, "endpoint" to id.value, "during" to what, "open" to open.size)
+    }
+
+    private fun noteRecovered() {
+        if (health.isAvoided()) events.write(LogEvent.ENDPOINT_RECOVERED, "endpoint" to id.value, "open" to open.size)
+    }
+
     fun begin(
         kvTokens: Int,
         unreadTokens: Int,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/RoutingView.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/RoutingView.kt
@@ -2,6 +2,8 @@
 
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.api.ServiceName
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 
 /** What this process believes about configuration and endpoints at one moment. */
 public class RoutingView(
@@ -12,9 +14,17 @@
     public val fleetVersion: Long,
     /** True once the instance list was read completely. */
     public val hasFleet: Boolean,
+    /** When the instance list last changed here. */
+    private val fleetSince: TimeMark = TimeSource.Monotonic.markNow(),
 ) {
     private val byService: Map<ServiceName, List<RoutedEndpoint>> = endpoints.values.filterNot { it.isLeaving }.groupBy { it.service }
 
+    /** Time since the instance list last changed here. */
+    public val fleetAgeMs: Long get() = fleetSince.elapsedNow().inWholeMilliseconds
+
+    /** The same endpoints with another configuration. */
+    internal fun with(newTable: RouteTable) = RoutingView(newTable, endpoints, fleetVersion, hasFleet, fleetSince)
+
     public val isComplete: Boolean get() = table != null && hasFleet
 
     /** Endpoints of [service] that take new work. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/RoutingViewHolder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/model/RoutingViewHolder.kt
@@ -25,7 +25,7 @@
         val before =
             view.getAndUpdate { old ->
                 replaced = table.version > (old.table?.version ?: Long.MIN_VALUE)
-                if (replaced) RoutingView(table, old.endpoints, old.fleetVersion, old.hasFleet) else old
+                if (replaced) old.with(table) else old
             }
         val event =
             when {
@@ -56,6 +56,7 @@
                 when {
                     endpoint.isLeaving && former?.isLeaving != true -> LogEvent.ENDPOINT_LEAVING
                     former == null || former.bornMs != endpoint.bornMs -> LogEvent.ENDPOINT_FOUND
+                    former.stage != endpoint.stage || former.address != endpoint.address -> LogEvent.ENDPOINT_CHANGED
                     else -> null
                 }
             event?.let { events.write(it, *fields(endpoint, fleetVersion)) }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
@@ -1,7 +1,6 @@
 package io.knapweedferry.routing.pipeline
 
 import arrow.core.Either
-import io.knapweedferry.policy.routing.EndpointHealth
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.fleet.EndpointLedger
 import io.knapweedferry.routing.model.RoutedEndpoint
@@ -15,7 +14,7 @@
 internal class Attempt(
     val endpoint: RoutedEndpoint,
     private val entry: EndpointLedger.Entry,
-    private val health: EndpointHealth,
+    private val ledger: EndpointLedger,
     private val connection: EndpointConnection,
     private val answer: PendingAnswer,
     private val dialect: CallDialect,
@@ -27,8 +26,8 @@
             .onLeft { noteBroken() }
 
     private fun noteHead(head: AnswerHead) {
-        if (dialect.isWrongEndpoint(head.status, head.headers)) return health.unreachable()
-        if (head.status < STATUS_SERVER_ERROR) entry.noteFirstAnswer() else health.failed()
+        if (dialect.isWrongEndpoint(head.status, head.headers)) return ledger.noteUnreachable("wrong endpoint")
+        if (head.status < STATUS_SERVER_ERROR) entry.noteFirstAnswer() else ledger.health.failed()
     }
 
     suspend fun next(): AnswerPart {
@@ -38,7 +37,7 @@
     }
 
     private fun noteBroken() {
-        health.unreachable()
+        ledger.noteUnreachable("answer")
     }
 
     override fun close() {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
@@ -45,13 +45,13 @@
             val connected = pool.acquire(endpoint, plan.maxIdleMs)
             return connected
                 .onLeft {
-                    ledger.health.unreachable()
+                    ledger.noteUnreachable("connect")
                     record.note("unreachable:${endpoint.id.value}")
                 }.map { connection ->
                     val answer = connection.send(outbound(record.call, endpoint, terms))
                     record.noteSent(choice, terms)
                     opened = true
-                    Attempt(endpoint, entry, ledger.health, connection, answer, dialect)
+                    Attempt(endpoint, entry, ledger, connection, answer, dialect)
                 }
         } finally {
             if (!opened) entry.end()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
@@ -17,6 +17,9 @@
     var sentCount = 0
         private set
 
+    /** How the request waited for room at an engine; the last time if it did more than once. */
+    var gateWait: GateWait? = null
+
     var firstByteMs: Long? = null
         private set
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
@@ -1,5 +1,7 @@
 package io.knapweedferry.routing.pipeline
 
+import io.knapweedferry.routing.call.AttemptTerms
+import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.LogEvent
 import io.knapweedferry.telemetry.RoutingMetrics
@@ -48,6 +50,24 @@
         record.note("retry:$reason")
     }
 
+    /** An engine granted a reservation and refused the run that named it. */
+    fun runRefused(
+        record: CallRecord,
+        engine: RoutedEndpoint,
+        terms: AttemptTerms,
+    ) = events.write(
+        LogEvent.RUN_REFUSED,
+        "request" to record.call.traits.requestId,
+        "endpoint" to engine.id.value,
+        "listed_stage" to engine.stage,
+        "fleet_version" to record.view.fleetVersion,
+        "fleet_age_ms" to record.view.fleetAgeMs,
+        "kv_source" to
+            terms.kvSource
+                ?.address
+                ?.hostString,
+    )
+
     private fun write(
         event: LogEvent,
         record: CallRecord,
@@ -60,6 +80,7 @@
             "priority" to record.route?.priority,
             "config_version" to record.view.table?.version,
             "fleet_version" to record.view.fleetVersion,
+            "fleet_age_ms" to record.view.fleetAgeMs,
             "prompt_tokens" to
                 record.call.traits.promptTokens
                     .takeIf { it > 0 },
@@ -68,6 +89,11 @@
                     .takeIf { it > 0 },
             "output_hint" to record.call.traits.expectedOutputTokens,
             "deadline_ms" to record.call.traits.deadlineMs,
+            "gate_ms" to record.gateWait?.elapsedMs,
+            "gate_ahead" to record.gateWait?.ahead,
+            "gate_asked" to record.gateWait?.asked,
+            "gate_unanswered" to record.gateWait?.unanswered,
+            "gate_asking_ms" to record.gateWait?.askingMs,
             "steps" to record.trace,
             "first_byte_ms" to record.firstByteMs,
             "max_pause_ms" to record.maxPauseMs.takeIf { it > 0 },
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineGate.kt
@@ -9,6 +9,8 @@
 import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.telemetry.ReservationOutcome
+import io.knapweedferry.telemetry.RoutingMetrics
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
@@ -25,6 +27,7 @@
     private val chooser: EndpointChooser,
     private val dialect: CallDialect,
     private val scope: CoroutineScope,
+    private val metrics: RoutingMetrics,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
     private val queues = HashMap<ServiceName, Queue>()
@@ -36,11 +39,14 @@
         waitMs: Long,
     ): Admission? {
         val queue = queues.getOrPut(ticket.job.service.name) { Queue() }
-        queue.add(ticket, engine)
+        val began = timeSource.markNow()
+        val wait = queue.add(ticket, engine)
         try {
             return withTimeoutOrNull(waitMs) { ticket.await() }
         } finally {
             queue.remove(ticket)
+            wait.elapsedMs = began.elapsedNow().inWholeMilliseconds
+            metrics.gateLeft(ticket.job.route.rank, wait.elapsedMs)
         }
     }
 
@@ -66,10 +72,16 @@
         fun add(
             ticket: GateTicket,
             engine: EngineProfile,
-        ) {
+        ): GateWait {
+            val wait = GateWait(tickets.count { it < ticket })
+            ticket.job.record.gateWait = wait
             tickets += ticket
             wakeUps.trySend(Unit)
-            if (running) return
+            if (!running) serve(engine)
+            return wait
+        }
+
+        private fun serve(engine: EngineProfile) {
             running = true
             scope.launch {
                 try {
@@ -137,32 +149,60 @@
         engine: EngineProfile,
     ): Admission? {
         val maxTtlMs = engine.maxReservationMs ?: return Admission(choice, null)
-        val admission = take(choice, ticket.reservedTokens, minOf(RESERVATION_TTL_MS, maxTtlMs)) ?: return null
-        val headRoom = take(choice, ticket.headRoomTokens(engine), minOf(HEAD_ROOM_TTL_MS, maxTtlMs))
-        if (headRoom == null) {
-            release(admission)
-            return null
-        }
-        release(headRoom)
-        return admission
+        val began = timeSource.markNow()
+        val run = take(choice, ticket.reservedTokens, minOf(RESERVATION_TTL_MS, maxTtlMs))
+        val headRoom = run.admission?.let { take(choice, ticket.headRoomTokens(engine), minOf(HEAD_ROOM_TTL_MS, maxTtlMs)) }
+        val outcome =
+            when {
+                headRoom == null -> run.outcome
+                headRoom.outcome == ReservationOutcome.NO_ROOM -> ReservationOutcome.NO_HEAD_ROOM
+                else -> headRoom.outcome
+            }
+        note(ticket, outcome, began.elapsedNow().inWholeMilliseconds)
+        headRoom?.admission?.let(::release)
+        if (outcome == ReservationOutcome.GRANTED) return run.admission
+        run.admission?.let(::release)
+        return null
+    }
+
+    private fun note(
+        ticket: GateTicket,
+        outcome: ReservationOutcome,
+        elapsedMs: Long,
+    ) {
+        metrics.reservationAnswered(outcome, elapsedMs)
+        val wait = ticket.job.record.gateWait ?: return
+        wait.asked++
+        wait.askingMs += elapsedMs
+        if (outcome == ReservationOutcome.UNANSWERED) wait.unanswered++
     }
 
     private suspend fun take(
         choice: Choice,
         tokens: Int,
         ttlMs: Long,
-    ): Admission? {
-        val answer = attempts.control(choice.endpoint, dialect.reserve(choice.endpoint.id, tokens, ttlMs), RESERVE_TIMEOUT_MS)
-        val granted =
-            answer.getOrElse {
-                chooser.ledger(choice.endpoint.id).health.unreachable()
-                return null
+    ): Taken {
+        val ledger = chooser.ledger(choice.endpoint.id)
+        val request = dialect.reserve(choice.endpoint.id, tokens, ttlMs)
+        val answer =
+            attempts.control(choice.endpoint, request, RESERVE_TIMEOUT_MS).getOrElse {
+                ledger.noteUnreachable("reservation")
+                return Taken(ReservationOutcome.UNANSWERED)
             }
-        if (dialect.isWrongEndpoint(granted.status, granted.headers)) chooser.ledger(choice.endpoint.id).health.unreachable()
-        if (granted.status != STATUS_OK) return null
-        return dialect.readReservation(granted.body)?.let { Admission(choice, it) }
+        if (dialect.isWrongEndpoint(answer.status, answer.headers)) {
+            ledger.noteUnreachable("wrong endpoint")
+            return Taken(ReservationOutcome.WRONG_ENDPOINT)
+        }
+        if (answer.status != STATUS_OK) return Taken(ReservationOutcome.NO_ROOM)
+        val reservation = dialect.readReservation(answer.body) ?: return Taken(ReservationOutcome.UNREADABLE)
+        return Taken(ReservationOutcome.GRANTED, Admission(choice, reservation))
     }
 
+    private class Taken(
+        val outcome: ReservationOutcome,
+        val admission: Admission? = null,
+    )
+
     private fun release(admission: Admission) {
         val reservation = admission.reservation ?: return
         attempts.controlLater(admission.choice.endpoint, dialect.releaseReservation(reservation))
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import io.knapweedferry.api.EndpointId
+import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.call.KvSourceRef
 import io.knapweedferry.routing.fleet.Choice
@@ -95,7 +96,7 @@
                         choice.endpoint,
                     ).copy(kvSource = source, reservation = admission.reservation, lastEventId = relay.lastEventId)
             val opened = attempts.open(record, choice, terms, plan(choice, source != null))
-            return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt) })
+            return opened.fold({ notOpened(it) }, { attempt -> follow(choice, attempt, terms) })
         }
 
         private fun wantsPrefill() = relay.lastEventId == null && record.sentCount == 0
@@ -103,9 +104,10 @@
         private suspend fun follow(
             choice: Choice,
             attempt: Attempt,
+            terms: AttemptTerms,
         ): Step =
             try {
-                attempt.use { follow(it) }
+                attempt.use { follow(it, terms) }
             } finally {
                 gate.noteRoom(job.service.name, choice.endpoint.id)
             }
@@ -133,9 +135,12 @@
             return handle?.let { KvSourceRef(prefill.endpoint.address, it) }
         }
 
-        private suspend fun follow(attempt: Attempt): Step {
+        private suspend fun follow(
+            attempt: Attempt,
+            terms: AttemptTerms,
+        ): Step {
             val head = firstAnswer(attempt) ?: return Step.Again("no_answer_in_time", LocalAnswer.ANSWER_LOST)
-            return head.fold({ Step.Again("answer_lost", LocalAnswer.ANSWER_LOST) }, { answered(attempt, it) })
+            return head.fold({ Step.Again("answer_lost", LocalAnswer.ANSWER_LOST) }, { answered(attempt, terms, it) })
         }
 
         private suspend fun firstAnswer(attempt: Attempt): Either<AttemptFailure, AnswerHead>? {
@@ -145,10 +150,12 @@
 
         private suspend fun answered(
             attempt: Attempt,
+            terms: AttemptTerms,
             head: AnswerHead,
         ): Step {
             if (dialect.isNotRun(head.status, head.headers)) {
                 record.noteNotRun()
+                if (terms.reservation != null) recorder.runRefused(record, attempt.endpoint, terms)
                 return Step.Again("not_run", LocalAnswer.ENDPOINTS_FULL)
             }
             if (SignedSuccess.isMissing(dialect, head.status, head.headers)) return Step.Again("unsigned", LocalAnswer.ANSWER_LOST)
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -222,6 +222,8 @@
         "look for requests that bypass the sidecar",
     ),
     STAGE_DUTY_SETTLED(622, EventLevel.INFO, "the instance that gives orders to engines is known", NO_ACTION),
+    ENDPOINT_CHANGED(623, EventLevel.INFO, "endpoint changed in the instance list", NO_ACTION),
+    RUN_REFUSED(624, EventLevel.WARN, "engine refused a run that it had reserved room for", "compare the stage with the engine's report"),
 
     // 7xx: platform
     LOG_DOWN(700, EventLevel.ERROR, "platform log does not answer", "check the log; model traffic goes on, claims and changes are refused"),
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/MeterFactory.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/MeterFactory.kt
@@ -17,16 +17,22 @@
         vararg labels: Pair<String, String>,
     ): Counter = Counter.builder("$PREFIX.$name").tags(labels.map { Tag.of(it.first, it.second) }).register(registry)
 
+    fun timer(
+        name: String,
+        rank: Rank,
+        boundsMs: LongArray,
+    ): Timer = timer(name, "rank" to rank.label, boundsMs)
+
     // The copy that the spread operator makes happens once per timer, at start.
     @Suppress("SpreadOperator")
     fun timer(
         name: String,
-        rank: Rank,
+        label: Pair<String, String>,
         boundsMs: LongArray,
     ): Timer =
         Timer
             .builder("$PREFIX.$name")
-            .tag("rank", rank.label)
+            .tag(label.first, label.second)
             .serviceLevelObjectives(*Array(boundsMs.size) { Duration.ofMillis(boundsMs[it]) })
             .register(registry)
 
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/RoutingMetrics.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/RoutingMetrics.kt
@@ -22,6 +22,9 @@
     private val delivered = STATUS_CLASSES.associateWith { meters.counter("routed.answers", "status" to "${it}xx") }
     private val answerTimes = Rank.entries.associateWith { meters.timer("routed.answer", it, ANSWER_BOUNDS_MS) }
     private val firstBytes = Rank.entries.associateWith { meters.timer("routed.first.byte", it, ANSWER_BOUNDS_MS) }
+    private val reservations =
+        ReservationOutcome.entries.associateWith { meters.timer("routed.reservation", "outcome" to it.label, RESERVATION_BOUNDS_MS) }
+    private val gateWaits = Rank.entries.associateWith { meters.timer("routed.gate.wait", it, ANSWER_BOUNDS_MS) }
     private val gone = meters.counter("routed.callers.gone")
     private val storeOk = storeCalls.associateWith { meters.counter("store.calls", "call" to it, "result" to "ok") }
     private val storeFailed = storeCalls.associateWith { meters.counter("store.calls", "call" to it, "result" to "failed") }
@@ -54,6 +57,18 @@
     /** Counts a further attempt for a request. */
     public fun retried(reason: String): Unit = (retries[reason] ?: otherRetries).increment()
 
+    /** Counts a request for a reservation and how long its answer took. */
+    public fun reservationAnswered(
+        outcome: ReservationOutcome,
+        elapsedMs: Long,
+    ): Unit = record(reservations.getValue(outcome), elapsedMs)
+
+    /** Notes how long a model request waited for room, whether it got any or not. */
+    public fun gateLeft(
+        rank: Rank,
+        waitedMs: Long,
+    ): Unit = record(gateWaits.getValue(rank), waitedMs)
+
     public fun callerGone(): Unit = gone.increment()
 
     public fun callerConnections(count: Int): Unit = connections.set(count)
@@ -78,5 +93,8 @@
 
         // The target latencies of today's deployments are bounds themselves, so that the share within them is exact.
         val ANSWER_BOUNDS_MS = longArrayOf(10, 25, 50, 100, 121, 145, 193, 300, 600, 800, 1_000, 2_000, 5_000, 14_000)
+
+        /** A reservation takes a few ms; one that is not answered ends at 150 ms. */
+        val RESERVATION_BOUNDS_MS = longArrayOf(2, 5, 10, 25, 50, 100, 150)
     }
 }
