Bound each answer in bytes, whatever it is that does not end

Callers would wait until their deadline, and the entry would fill its memory, for an endpoint, store or peer that sends without end: interim answers, blank lines, answers to other requests, chunk sizes, trailers, bodies of failed streams, events.

Connections to endpoints count the bytes since their answer got on (128 KiB); bodies, events and streams have limits of their own.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempts.kt
@@ -3,7 +3,6 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
-import arrow.core.right
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.call.CallRequest
@@ -11,7 +10,6 @@
 import io.knapweedferry.routing.fleet.Choice
 import io.knapweedferry.routing.fleet.EndpointChooser
 import io.knapweedferry.routing.model.RoutedEndpoint
-import io.knapweedferry.routing.upstream.AnswerPart
 import io.knapweedferry.routing.upstream.AttemptFailure
 import io.knapweedferry.routing.upstream.EndpointPool
 import io.knapweedferry.routing.upstream.OutboundRequest
@@ -21,7 +19,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 
 /** Sends requests to single endpoints and keeps account of them. */
 internal class Attempts(
@@ -66,7 +63,11 @@
         plan: AttemptPlan,
     ): Either<AttemptFailure, WholeAnswer> =
         open(record, choice, terms, plan).flatMap { attempt ->
-            attempt.use { it.head().flatMap { head -> readBody(it::next).map { body -> WholeAnswer(head.status, head.headers, body) } } }
+            attempt.use {
+                it.head().flatMap { head ->
+                    WholeBody.read(WholeBody.MAX_BYTES, it::next).map { body -> WholeAnswer(head.status, head.headers, body) }
+                }
+            }
         }
 
     /** Sends a request of the router itself and returns its whole answer. */
@@ -97,27 +98,15 @@
         return pool.acquire(endpoint, Long.MAX_VALUE).flatMap { connection ->
             val answer = connection.send(OutboundRequest(request.method, request.target, headers, request.body, null))
             try {
-                answer.head().flatMap { head -> readBody(answer::next).map { WholeAnswer(head.status, head.headers, it) } }
+                answer.head().flatMap { head ->
+                    WholeBody.read(WholeBody.MAX_SHORT_BYTES, answer::next).map { WholeAnswer(head.status, head.headers, it) }
+                }
             } finally {
                 connection.cancel(answer)
             }
         }
     }
 
-    private suspend fun readBody(next: suspend () -> AnswerPart): Either<AttemptFailure, ByteArray> {
-        val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = next()) {
-                is AnswerPart.Data -> body.write(part.bytes)
-                is AnswerPart.Broken -> return AttemptFailure.Unanswered(part.detail).left()
-                AnswerPart.End -> return body.toByteArray().right()
-            }
-            if (body.size() > MAX_WHOLE_ANSWER_BYTES) {
-                return AttemptFailure.Unanswered("answer exceeds $MAX_WHOLE_ANSWER_BYTES bytes").left()
-            }
-        }
-    }
-
     private fun outbound(
         call: CallRequest,
         endpoint: RoutedEndpoint,
@@ -135,8 +124,5 @@
 
     private companion object {
         const val CONTROL_TIMEOUT_MS = 1_000L
-
-        /** Bounds the memory of one answer of a plain service; the usual ones have a few KB. */
-        const val MAX_WHOLE_ANSWER_BYTES = 4 * 1024 * 1024
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -15,6 +15,9 @@
         COMPLETE,
         BROKEN,
         PAUSED,
+
+        /** An event, or the stream, is longer than any answer can be. */
+        TOO_LONG,
     }
 
     /** Last event that was delivered whole. */
@@ -23,10 +26,15 @@
 
     suspend fun relay(attempt: Attempt): End {
         val splitter = EventSplitter()
+        var receivedBytes = 0
         while (true) {
             val part = nextPart(attempt) ?: return End.PAUSED
             when (part) {
-                is AnswerPart.Data -> deliver(splitter.add(part.bytes))
+                is AnswerPart.Data -> {
+                    receivedBytes += part.bytes.size
+                    deliver(splitter.add(part.bytes))
+                    if (splitter.restBytes > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
+                }
                 is AnswerPart.Broken -> return End.BROKEN
                 AnswerPart.End -> return complete(splitter)
             }
@@ -51,4 +59,12 @@
         job.reply.write(EventSplitter.join(events))
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
     }
+
+    private companion object {
+        /** Today's events have below 1 KB. */
+        const val MAX_EVENT_BYTES = 256 * 1024
+
+        /** Above the longest answer of today's models, with an event of 1 KB per token. */
+        const val MAX_STREAM_BYTES = 8 * 1024 * 1024
+    }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.routing.pipeline
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallDialect
@@ -12,10 +13,8 @@
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.upstream.AnswerHead
-import io.knapweedferry.routing.upstream.AnswerPart
 import io.knapweedferry.routing.upstream.AttemptFailure
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.ByteArrayOutputStream
 
 /**
  * Forwards model requests, whose answers are streams of events. A prompt is read by an engine of the prefill stage where
@@ -169,16 +168,13 @@
             attempt: Attempt,
             head: AnswerHead,
         ): Step {
-            val body = ByteArrayOutputStream()
-            while (true) {
-                when (val part = attempt.next()) {
-                    is AnswerPart.Data -> body.write(part.bytes)
-                    is AnswerPart.Broken -> return Step.Again("answer_lost", LocalAnswer.ANSWER_LOST)
-                    AnswerPart.End -> break
+            val body =
+                WholeBody.read(WholeBody.MAX_SHORT_BYTES, attempt::next).getOrElse {
+                    return Step.Again("answer_lost", LocalAnswer.ANSWER_LOST)
                 }
             }
             if (job.reply.hasBegun) return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
-            fallback = WholeAnswer(head.status, head.headers, body.toByteArray())
+            fallback = WholeAnswer(head.status, head.headers, body)
             return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
         }
 
@@ -194,6 +190,7 @@
             job.route.isResumable &&
                 record.sentCount < job.route.maxAttempts &&
                 budget.available() > 0 &&
+                EventRelay.End.TOO_LONG -> Step.Again("stream_too_long", LocalAnswer.ANSWER_LOST)
                 candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
 
         private fun mayRetry(step: Step.Again): Boolean {
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndlessAnswerException.kt
@@ -0,0 +1,8 @@
+package io.knapweedferry.routing.upstream
+
+import java.io.IOException
+
+/** An endpoint sends and does not come to the end of what it sends. */
+internal class EndlessAnswerException(
+    message: String,
+) : IOException(message)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -27,6 +27,7 @@
     val endpoint: EndpointId,
     private val dialect: CallDialect,
     private val decoder: AnswerDecoder,
+    private val limit: ReadLimit,
     private val timeSource: TimeSource,
     private val onReusable: (EndpointConnection) -> Unit,
     private val onClosed: (EndpointConnection) -> Unit,
@@ -56,6 +57,7 @@
         pending = answer
         requestId = request.requestId
         skipping = false
+        limit.noteProgress()
         decoder.expectsNoBody = request.method.name() == "HEAD"
         val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.target, Unpooled.wrappedBuffer(request.body))
         message.headers().add(request.headers)
@@ -99,6 +101,7 @@
             return
         }
         skipping = false
+        limit.noteProgress()
         if (!HttpUtil.isKeepAlive(response) || !hasLength(response)) reusable = false
         response.headers().get(KEEP_ALIVE)?.let(::noteKeepAlive)
         answer.begin(AnswerHead(response.status().code(), response.headers()))
@@ -126,7 +129,10 @@
     private fun receiveContent(content: HttpContent) {
         if (skipping) return
         val answer = pending ?: return breakOff("bytes without a request")
-        if (content.content().isReadable) answer.add(ByteBufUtil.getBytes(content.content()))
+        if (content.content().isReadable) {
+            limit.noteProgress()
+            answer.add(ByteBufUtil.getBytes(content.content()))
+        }
         if (content !is LastHttpContent) return
         pending = null
         answer.end()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -71,15 +71,16 @@
     }
 
     private suspend fun connect(endpoint: RoutedEndpoint): Either<AttemptFailure.NotSent, EndpointConnection> {
+        val limit = ReadLimit()
         val decoder = AnswerDecoder()
-        val connection = EndpointConnection(endpoint.id, dialect, decoder, timeSource, ::keep, ::forget)
+        val connection = EndpointConnection(endpoint.id, dialect, decoder, limit, timeSource, ::keep, ::forget)
         val attempt =
             bootstrap
                 .clone()
                 .handler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) {
-                            channel.pipeline().addLast(HttpRequestEncoder(), decoder, connection)
+                            channel.pipeline().addLast(HttpRequestEncoder(), limit, decoder, connection)
                         }
                     },
                 ).connect(endpoint.address)
