Avoid engines that refuse runs which they reserved room for

Class of fault: free memory was taken as a sign that an engine takes runs. A refused run counts as evidence now: the engine is avoided for 1 s and longer each time; at the first time only if no other reason is possible (a KV cache that was gone at its source). An endpoint whose address another one has is avoided for 10 s.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/EndpointHealth.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/EndpointHealth.kt
@@ -18,6 +18,7 @@
     private var slowness = 1.0
     private var lastSeen: TimeMark = timeSource.markNow()
     private var unreachableInRow = 0
+    private var refusedInRow = 0
     private var avoidedSince: TimeMark? = null
     private var avoidMs = 0L
 
@@ -39,6 +40,7 @@
         slowness = slowness() * (1 - WEIGHT) + ratio * WEIGHT
         noteFailure(0.0)
         unreachableInRow = 0
+        refusedInRow = 0
         avoidedSince = null
     }
 
@@ -51,7 +53,32 @@
     public fun unreachable() {
         noteFailure(1.0)
         unreachableInRow = min(unreachableInRow + 1, MAX_DOUBLINGS)
-        avoidMs = FIRST_AVOID_MS shl (unreachableInRow - 1)
+        avoid(FIRST_AVOID_MS shl (unreachableInRow - 1))
+    }
+
+    /**
+     * Notes a run that the endpoint refused although it had reserved room for it: it may be changing its stage or leaving.
+     * Unless [isCertain], the first one may have another reason.
+     */
+    public fun refusedRun(isCertain: Boolean) {
+        refusedInRow = min(refusedInRow + 1, MAX_DOUBLINGS)
+        if (isCertain || refusedInRow > 1) avoid(FIRST_REFUSED_MS shl (refusedInRow - 1))
+    }
+
+    /** Notes that the endpoint was ordered to change its stage. */
+    public fun changingStage() {
+        avoid(STAGE_CHANGE_MS)
+    }
+
+    /** Notes that another endpoint answered at its address, so it is gone and only the list does not say so yet. */
+    public fun replaced() {
+        avoid(REPLACED_MS)
+    }
+
+    private fun avoid(durationMs: Long) {
+        val leftMs = avoidedSince?.let { avoidMs - it.elapsedNow().inWholeMilliseconds } ?: 0
+        if (leftMs > durationMs) return
+        avoidMs = durationMs
         avoidedSince = timeSource.markNow()
     }
 
@@ -74,5 +101,14 @@
         /** A process that crashed takes about this long to start again. */
         const val FIRST_AVOID_MS = 300L
         const val MAX_DOUBLINGS = 4
+
+        /** A change of stage takes several seconds, in which each try costs a caller an attempt. */
+        const val FIRST_REFUSED_MS = 1_000L
+
+        /** Time in which engines change their stage. */
+        const val STAGE_CHANGE_MS = 6_000L
+
+        /** The list of an entry that is cut off from the store may be this old. */
+        const val REPLACED_MS = 10_000L
     }
 }
--- a/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/EndpointHealthSpec.kt
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/EndpointHealthSpec.kt
@@ -33,6 +33,30 @@
         assertFalse(health.isAvoided())
     }
 
+    /** Guards against an engine that keeps granting room while it changes its stage and refuses each run. */
+    @Test
+    fun `an endpoint that refuses reserved runs is avoided, at the second one if the first may have another reason`() {
+        health.refusedRun(isCertain = false)
+        assertFalse(health.isAvoided())
+        health.refusedRun(isCertain = false)
+        time += 1_999.milliseconds
+        assertTrue(health.isAvoided())
+        health.answered(10, 10.0)
+        health.refusedRun(isCertain = true)
+        assertTrue(health.isAvoided())
+        time += 1_001.milliseconds
+        assertFalse(health.isAvoided())
+    }
+
+    /** Guards against a second fault that shortens what is known to take longer. */
+    @Test
+    fun `an endpoint whose address another one has stays avoided when it is unreachable as well`() {
+        health.replaced()
+        health.unreachable()
+        time += 9_000.milliseconds
+        assertTrue(health.isAvoided())
+    }
+
     @Test
     fun `failures and slowness lose weight with time`() {
         repeat(20) { health.failed() }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointLedger.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointLedger.kt
@@ -56,10 +56,25 @@
     val isIdle: Boolean get() = open.isEmpty()
 
     /** The endpoint accepted no connection, cut one off or did not answer during [what]. */
-    fun noteUnreachable(what: String) {
+    fun noteUnreachable(what: String) = noteAvoided(what) { health.unreachable() }
+
+    /** Another endpoint answered at its address. */
+    fun noteReplaced(what: String) = noteAvoided("$what, another endpoint answered") { health.replaced() }
+
+    /** The endpoint granted a reservation and refused the run; [isCertain] if nothing but the endpoint can be the reason. */
+    fun noteRunRefused(isCertain: Boolean) = noteAvoided("run, refused") { health.refusedRun(isCertain) }
+
+    /** The endpoint was ordered to another stage and runs nothing until it has changed. */
+    fun noteOrdered() = noteAvoided("change of stage") { health.changingStage() }
+
+    private inline fun noteAvoided(
+        what: String,
+        note: () -> Unit,
+    ) {
         val wasAvoided = health.isAvoided()
-        health.unreachable()
-        if (!wasAvoided) events.write(LogEvent.ENDPOINT_UNREACHABLE, "endpoint" to id.value, "during" to what, "open" to open.size)
+        note()
+        if (wasAvoided || !health.isAvoided()) return
+        events.write(LogEvent.ENDPOINT_UNREACHABLE, "endpoint" to id.value, "during" to what, "open" to open.size)
     }
 
     private fun noteRecovered() {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
@@ -26,7 +26,7 @@
             .onLeft { noteBroken() }
 
     private fun noteHead(head: AnswerHead) {
-        if (dialect.isWrongEndpoint(head.status, head.headers)) return ledger.noteUnreachable("wrong endpoint")
+        if (dialect.isWrongEndpoint(head.status, head.headers)) return ledger.noteReplaced("answer")
         if (head.status < STATUS_SERVER_ERROR) entry.noteFirstAnswer() else ledger.health.failed()
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -154,7 +154,7 @@
         ): Step {
             if (dialect.isNotRun(head.status, head.headers)) {
                 record.noteNotRun()
-                if (terms.reservation != null) recorder.runRefused(record, attempt.endpoint, terms)
+                if (terms.reservation != null) noteRunRefused(attempt.endpoint, terms)
                 return Step.Again("not_run", LocalAnswer.ENDPOINTS_FULL)
             }
             if (SignedSuccess.isMissing(dialect, head.status, head.headers)) return Step.Again("unsigned", LocalAnswer.ANSWER_LOST)
@@ -163,6 +163,15 @@
             return relay(attempt)
         }
 
+        /** The reason may also be a KV cache that was gone at its source. */
+        private fun noteRunRefused(
+            engine: RoutedEndpoint,
+            terms: AttemptTerms,
+        ) {
+            recorder.runRefused(record, engine, terms)
+            chooser.ledger(engine.id).noteRunRefused(isCertain = terms.kvSource == null)
+        }
+
         /** A whole answer that is no stream, usually an error of the engine. */
         private suspend fun failed(
             attempt: Attempt,
@@ -172,7 +181,6 @@
                 WholeBody.read(WholeBody.MAX_SHORT_BYTES, attempt::next).getOrElse {
                     return Step.Again("answer_lost", LocalAnswer.ANSWER_LOST)
                 }
-            }
             if (job.reply.hasBegun) return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
             fallback = WholeAnswer(head.status, head.headers, body)
             return Step.Again("endpoint_error", LocalAnswer.ANSWER_LOST)
@@ -182,6 +190,7 @@
             when (relay.relay(attempt)) {
                 EventRelay.End.COMPLETE -> Step.Done.also { recorder.delivered(record, STATUS_OK) }
                 EventRelay.End.BROKEN -> Step.Again("stream_broken", LocalAnswer.ANSWER_LOST)
+                EventRelay.End.TOO_LONG -> Step.Again("stream_too_long", LocalAnswer.ANSWER_LOST)
                 EventRelay.End.PAUSED -> Step.Again("pause_too_long", LocalAnswer.ANSWER_LOST)
             }
 
@@ -190,7 +199,6 @@
             job.route.isResumable &&
                 record.sentCount < job.route.maxAttempts &&
                 budget.available() > 0 &&
-                EventRelay.End.TOO_LONG -> Step.Again("stream_too_long", LocalAnswer.ANSWER_LOST)
                 candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
 
         private fun mayRetry(step: Step.Again): Boolean {
