Let one request wait for a silent engine, and none for room that will not come

Now a question that is not answered within 25 ms no longer holds up the others, and an avoided engine is asked only if there is no other.

Callers were refused after 2.3 to 3.5 s although the queue had long been too long: a request is refused at once when the pace of the last 2 s, with the spread of a count added, leaves it no chance before its caller leaves.

Full engines are asked every 50 to 150 ms, by the number of engines.

AdmissionSpec: the order of the calls is checked as strictly as before; without head room nothing may be set aside any more. EngineLossSpec (118 ms beside a silent engine before, below 75 ms now; a hopeless request refused after 1.7 s before, within 0.4 s now).

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -12,6 +12,7 @@
 import io.knapweedferry.routing.pipeline.CallPipeline
 import io.knapweedferry.routing.pipeline.CallRecorder
 import io.knapweedferry.routing.pipeline.EngineGate
+import io.knapweedferry.routing.pipeline.EngineReservations
 import io.knapweedferry.routing.pipeline.PlainForwarder
 import io.knapweedferry.routing.pipeline.StreamForwarder
 import io.knapweedferry.routing.upstream.EndpointPool
@@ -64,7 +65,7 @@
 
     private fun pipeline(): CallPipeline {
         val plain = PlainForwarder(attempts, chooser, allowances, dialect, recorder, settings.forwarding)
-        val gate = EngineGate(attempts, chooser, dialect, scope, metrics)
+        val gate = EngineGate(EngineReservations(attempts, chooser, dialect, metrics), chooser, scope, metrics)
         val stream = StreamForwarder(attempts, gate, chooser, allowances, dialect, recorder, settings.forwarding)
         return CallPipeline(views, plain, stream, allowances, dialect, recorder)
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointChooser.kt
@@ -29,6 +29,10 @@
         ledgers.entries.removeIf { it.key !in known && it.value.isIdle }
     }
 
+    /** Those of [candidates] that are not avoided, or all of them if there is no such one. */
+    fun reachable(candidates: List<RoutedEndpoint>): List<RoutedEndpoint> =
+        candidates.filterNot { ledger(it.id).health.isAvoided() }.ifEmpty { candidates }
+
     fun choosePlain(candidates: List<RoutedEndpoint>): Choice? =
         cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_USUAL_MS) }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateTicket.kt
@@ -6,6 +6,7 @@
 import io.knapweedferry.routing.model.RoutedEndpoint
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlin.time.TimeMark
 
 /** Model request that waits for room at an engine. */
 internal class GateTicket(
@@ -16,12 +17,16 @@
     private val firstEventMs: Double,
     private val candidates: () -> List<RoutedEndpoint>,
     private val excluded: Set<EndpointId>,
-) : Comparable<GateTicket> {
-    val granted = CompletableDeferred<Admission>()
+) {
+    /** Completed with null if the request is not going to get room in time. */
+    val granted = CompletableDeferred<Admission?>()
+
+    /** When room is of no use to the request any more. */
+    lateinit var waitsUntil: TimeMark
     private var isClaimed = false
 
     /** Waits for the grant and takes it. */
-    suspend fun await(): Admission = granted.await().also { isClaimed = true }
+    suspend fun await(): Admission? = granted.await().also { isClaimed = true }
 
     /** A grant that came too late for its request. */
     @OptIn(ExperimentalCoroutinesApi::class)
@@ -30,7 +35,20 @@
     fun engines(): List<RoutedEndpoint> = candidates().filterNot { it.id in excluded }
 
     /** Streams in progress first, then requests that can still meet their target, then those whose callers come back no more. */
-    override fun compareTo(other: GateTicket): Int = ORDER.compare(this, other)
+    val turn: Turn get() = Turn(group, job.route.priority, job.call.elapsedMs)
+
+    /** Place in the order of requests at one moment. */
+    data class Turn(
+        private val group: Int,
+        private val priority: Int,
+        private val waitedMs: Long,
+    ) : Comparable<Turn> {
+        override fun compareTo(other: Turn): Int = ORDER.compare(this, other)
+
+        private companion object {
+            val ORDER: Comparator<Turn> = compareBy<Turn> { it.group }.thenBy { it.priority }.thenByDescending { it.waitedMs }
+        }
+    }
 
     val fillOrder: FillOrder get() = if (isResumed || job.route.priority == 0) FillOrder.FROM_BACK else FillOrder.FROM_FRONT
 
@@ -86,8 +104,5 @@
 
         /** About one typical request. */
         const val MAX_HEAD_ROOM = 0.12
-
-        val ORDER: Comparator<GateTicket> =
-            compareBy<GateTicket> { it.group }.thenBy { it.job.route.priority }.thenByDescending { it.job.call.elapsedMs }
     }
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/ReservationOutcome.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/ReservationOutcome.kt
@@ -4,9 +4,6 @@
 public enum class ReservationOutcome {
     GRANTED,
     NO_ROOM,
-
-    /** There was room for the run and none for the head room beside it. */
-    NO_HEAD_ROOM,
     UNANSWERED,
 
     /** Another endpoint has the engine's address. */
