Keep an engine in the prefill stage, whoever holds the duty to order it

Once release and scale_in had taken both prefill engines, decode engines read every prompt between the tokens of others: 68% of the streams paused for more than 300 ms from 36 s on. Engines were ordered to decode only, by the first entry that ever wrote to a topic, for ever.

The balance works both ways: a lasting shortage is filled from the youngest decode engine, one at a time; an incarnation is ordered once to each stage. Entries learn of orders from the record and leave engines alone that change their stage.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -3,7 +3,7 @@
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.fleet.EndpointChooser
 import io.knapweedferry.routing.fleet.RetryAllowances
-import io.knapweedferry.routing.fleet.StageDuty
+import io.knapweedferry.routing.fleet.StageDutyRegister
 import io.knapweedferry.routing.fleet.StageKeeper
 import io.knapweedferry.routing.http.CallerListener
 import io.knapweedferry.routing.model.RoutingViewHolder
@@ -77,9 +77,9 @@
         scope.launch { tidy() }
     }
 
-    /** Lets this entry give orders to engines; at most one entry of the fleet may be told so. */
-    public fun takeStageDuty(duty: StageDuty) {
-        scope.launch { StageKeeper(duty, views, attempts, dialect, events).run() }
+    /** Keeps the balance of the engines' stages; gives orders while [duty] is held here. */
+    public fun keepStages(duty: StageDutyRegister) {
+        scope.launch { StageKeeper(duty, views, attempts, chooser, dialect, events).run() }
     }
 
     /** Forgets endpoints that have gone. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
@@ -1,6 +1,5 @@
 package io.knapweedferry.routing.fleet
 
-import io.knapweedferry.api.EndpointId
 import io.knapweedferry.policy.routing.StageBalance
 import io.knapweedferry.routing.call.CallDialect
 import io.knapweedferry.routing.call.StageOrder
@@ -16,68 +15,118 @@
 import kotlin.time.TimeSource
 
 /**
- * Moves engines from the prefill to the decode stage where the deployment starts more of them than its requests need. Only
- * the one entry that holds this duty runs it, so that an engine never gets orders from two holders. An engine is ordered
- * once per incarnation: an order without an answer may still be carried out.
+ * Keeps as many engines in the prefill stage as the requests need, whatever joins or leaves. Only the holder of the duty
+ * gives orders; all entries avoid an engine that changes its stage. An incarnation is ordered once to each stage at most:
+ * an order without an answer may still be carried out, and engines that change back and forth serve nobody.
  */
 internal class StageKeeper(
-    private val duty: StageDuty,
+    private val duty: StageDutyRegister,
     private val views: RoutingViewHolder,
     private val attempts: Attempts,
+    private val chooser: EndpointChooser,
     private val dialect: CallDialect,
     private val events: EventLog,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
-    private val ordered = HashSet<Pair<EndpointId, Long>>()
-    private var seen: Set<Pair<EndpointId, Long>> = emptySet()
+    /** Orders and when this entry learnt of them. */
+    private val orders = HashMap<AnnouncedOrder, TimeMark>()
+    private val shortSince = HashMap<String, TimeMark>()
+
+    /** Services whose list once had an engine of the prefill stage, so that a shortage is no sign of a fleet that starts. */
+    private val hadPrefill = HashSet<String>()
+    private var seen: Set<Pair<String, Long>> = emptySet()
     private var unchangedSince: TimeMark = timeSource.markNow()
 
     /** Checks the balance until cancelled. */
     suspend fun run() {
         while (true) {
             delay(CHECK_MS)
+            learnOrders()
             check(views.current)
         }
     }
 
+    private fun learnOrders() {
+        duty.announced.filterNot { it in orders }.forEach(::noteOrder)
+    }
+
+    private fun noteOrder(order: AnnouncedOrder) {
+        orders[order] = timeSource.markNow()
+        val engine = views.current.endpoints[order.engine] ?: return
+        if (engine.bornMs == order.bornMs && engine.stage != order.stage) chooser.ledger(order.engine).noteOrdered()
+    }
+
     private suspend fun check(view: RoutingView) {
+        noteChanges(view)
+        view.endpoints.values
+            .filter { it.stage != null && !it.isLeaving }
+            .groupBy { it.service.value }
+            .forEach { (service, engines) -> balance(service, engines, view) }
+    }
+
+    private fun noteChanges(view: RoutingView) {
         val now =
             view.endpoints.values
                 .filterNot { it.isLeaving }
-                .map { it.id to it.bornMs }
+                .map { it.id.value to it.bornMs }
                 .toSet()
-        if (now != seen || view.endpoints.values.any { it.isLeaving }) {
-            seen = now
-            unchangedSince = timeSource.markNow()
-        }
-        if (unchangedSince.elapsedNow().inWholeMilliseconds < UNCHANGED_MS) return
-        view.endpoints.values
-            .filter { it.stage != null && !it.isLeaving }
-            .groupBy { it.service }
-            .values
-            .forEach { balance(it, view) }
+        if (now != seen || view.endpoints.values.any { it.isLeaving }) unchangedSince = timeSource.markNow()
+        seen = now
     }
 
     private suspend fun balance(
+        service: String,
+        engines: List<RoutedEndpoint>,
+        view: RoutingView,
+    ) {
+        val prefill = engines.filter { stageOf(it) == EndpointStage.PREFILL }
+        val missing = StageBalance.wantedPrefill(engines.size) - prefill.size
+        if (prefill.isNotEmpty()) hadPrefill += service
+        if (missing <= 0) shortSince.remove(service)
+        if (missing > 0) return fill(service, engines, view)
+        if (missing == 0 || unchangedSince.elapsedNow().inWholeMilliseconds < SETTLED_MS) return
+        val movable = prefill.filterNot { wasOrdered(it) }.sortedBy { it.id.value }.groupBy { it.zone.value }
+        StageBalance.surplus(engines.size, movable).take(-missing).forEach { order(it, EndpointStage.DECODE, view) }
+    }
+
+    /** Orders one engine at a time to the prefill stage once the shortage has lasted. */
+    private suspend fun fill(
+        service: String,
         engines: List<RoutedEndpoint>,
         view: RoutingView,
     ) {
-        val prefill =
-            engines
-                .filter { it.stage == EndpointStage.PREFILL && (it.id to it.bornMs) !in ordered }
-                .sortedBy { it.id.value }
-                .groupBy { it.zone.value }
-        StageBalance.surplus(engines.size, prefill).forEach { order(it, view) }
+        val since = shortSince.getOrPut(service) { timeSource.markNow() }
+        val isChanging = engines.any { it.stage != stageOf(it) }
+        val patienceMs = if (service in hadPrefill) LOST_MS else SETTLED_MS
+        if (isChanging || since.elapsedNow().inWholeMilliseconds < patienceMs) return
+        // The youngest engine has the least work to finish before it changes.
+        val engine = engines.filter { it.stage == EndpointStage.DECODE && !wasOrdered(it) }.maxByOrNull { it.bornMs } ?: return
+        order(engine, EndpointStage.PREFILL, view)
     }
 
+    /** Stage of an engine, or the one that it is changing to. */
+    private fun stageOf(engine: RoutedEndpoint): EndpointStage? =
+        orders.entries
+            .firstOrNull { (order, since) -> order.concerns(engine) && since.elapsedNow().inWholeMilliseconds < CHANGE_MS }
+            ?.key
+            ?.stage ?: engine.stage
+
+    private fun wasOrdered(engine: RoutedEndpoint) = orders.keys.any { it.concerns(engine) && it.stage != engine.stage }
+
+    private fun AnnouncedOrder.concerns(other: RoutedEndpoint) = engine == other.id && bornMs == other.bornMs
+
     private suspend fun order(
         engine: RoutedEndpoint,
+        stage: EndpointStage,
         view: RoutingView,
     ) {
-        ordered += engine.id to engine.bornMs
-        val request = dialect.orderStage(StageOrder(engine.id, EndpointStage.DECODE, duty.holder, duty.fence))
+        if (!duty.isHeld) return
+        val order = AnnouncedOrder(engine.id, engine.bornMs, stage)
+        val proof = duty.announce(order) ?: return
+        noteOrder(order)
+        val request = dialect.orderStage(StageOrder(engine.id, stage, proof.holder, proof.fence))
         val status = attempts.control(engine, request, ORDER_TIMEOUT_MS).fold({ it.detail }, { it.status.toString() })
-        val fields = arrayOf("endpoint" to engine.id.value, "stage" to EndpointStage.DECODE, "fence" to duty.fence)
+        val fields = arrayOf("endpoint" to engine.id.value, "stage" to stage, "fence" to proof.fence)
         events.write(LogEvent.ORDER_SENT, *fields, "fleet_version" to view.fleetVersion, "result" to status)
     }
 
@@ -85,7 +134,13 @@
         const val CHECK_MS = 500L
 
         /** A fleet that starts or is replaced changes its list more often than this. */
-        const val UNCHANGED_MS = 3_000L
+        const val SETTLED_MS = 3_000L
+
+        /** An engine that is replaced by one of its stage is missed for less than this. */
+        const val LOST_MS = 1_000L
+
+        /** An engine ends its runs and changes its stage within about 9 s; an order without an answer may be late by 12 s. */
+        const val CHANGE_MS = 20_000L
         const val ORDER_TIMEOUT_MS = 1_000L
     }
 }
