--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateQueue.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/GateQueue.kt
@@ -104,7 +104,7 @@
             val choice = choose(ticket, engine)
             // What a more urgent request waits for is not given to a smaller one behind it.
             if (choice == null) return pace.noteFull()
-            ask(ticket, choice, engine)
+            return ask(ticket, choice, engine)
         }
     }
 
