Forget orders to engines that are gone, and let the latest order of an engine count

Found on reading the diff: the map of orders only grew, and of two orders to one engine within 20 s either could count as the stage that it changes to.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
@@ -47,7 +47,10 @@
     }
 
     private fun learnOrders() {
-        duty.announced.filterNot { it in orders }.forEach(::noteOrder)
+        val announced = duty.announced
+        val engines = views.current.endpoints
+        orders.keys.removeIf { it !in announced && engines[it.engine]?.bornMs != it.bornMs }
+        announced.filterNot { it in orders }.forEach(::noteOrder)
     }
 
     private fun noteOrder(order: AnnouncedOrder) {
@@ -107,7 +110,8 @@
     /** Stage of an engine, or the one that it is changing to. */
     private fun stageOf(engine: RoutedEndpoint): EndpointStage? =
         orders.entries
-            .firstOrNull { (order, since) -> order.concerns(engine) && since.elapsedNow().inWholeMilliseconds < CHANGE_MS }
+            .filter { (order, since) -> order.concerns(engine) && since.elapsedNow().inWholeMilliseconds < CHANGE_MS }
+            .minByOrNull { it.value.elapsedNow() }
             ?.key
             ?.stage ?: engine.stage
 
