Do not move engines between stages back and forth

Callers lost an engine for about 9 s five times: as a few engines were away, the wanted number of prefill engines moved by one, and one engine was ordered to prefill at 10 s, back at 23 s, another one at 29 s.

A shortage is less than half of the wanted number now, and an engine that was ordered to prefill is not ordered away. An empty stage is filled as before (EngineLossSpec). StageBalanceSpec has the table; the function is new.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/StageBalance.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/StageBalance.kt
@@ -14,6 +14,15 @@
     /** Engines of the prefill stage wanted among [engines]; one is kept even in a small fleet. Half an engine counts as one. */
     public fun wantedPrefill(engines: Int): Int = if (engines < 2) 0 else max(1, (engines * PREFILL_SHARE).roundToInt())
 
+    /**
+     * True if so few of the [engines] are in the prefill stage that an engine should change to it. A change takes seconds in
+     * which the engine serves nobody, so half of the wanted number is enough: decode engines read what a queue delays.
+     */
+    public fun isShort(
+        engines: Int,
+        prefill: Int,
+    ): Boolean = prefill * 2 < wantedPrefill(engines)
+
     /**
      * Engines that should leave the prefill stage, from the zone with the most of them first: [prefillByZone] lists the prefill engines of
      * each zone. Empty if there are no more than wanted.
--- a/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/StageBalanceSpec.kt
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/StageBalanceSpec.kt
@@ -27,4 +27,24 @@
     fun `surplus engines leave the prefill stage from the zones with the most of them`() {
         cases.forEach { assertEquals(it.surplus, StageBalance.surplus(it.engines, it.prefill), "$it") }
     }
+
+    /** Guards against engines that change their stage back and forth as a few others come and go. */
+    @Test
+    fun `an engine changes to the prefill stage only if less than half of the wanted number is there`() {
+        data class Case(
+            val engines: Int,
+            val prefill: Int,
+            val isShort: Boolean,
+        )
+        listOf(
+            Case(1, 0, false),
+            Case(2, 0, true),
+            Case(4, 0, true),
+            Case(6, 1, false),
+            Case(13, 1, true),
+            Case(13, 2, false),
+            Case(28, 3, true),
+            Case(28, 4, false),
+        ).forEach { assertEquals(it.isShort, StageBalance.isShort(it.engines, it.prefill), "$it") }
+    }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageKeeper.kt
@@ -16,8 +16,8 @@
 
 /**
  * Keeps as many engines in the prefill stage as the requests need, whatever joins or leaves. Only the holder of the duty
- * gives orders; all entries avoid an engine that changes its stage. An incarnation is ordered once to each stage at most:
- * an order without an answer may still be carried out, and engines that change back and forth serve nobody.
+ * gives orders; all entries avoid an engine that changes its stage. An incarnation is ordered once to each stage at most,
+ * and never away from prefill after it was ordered there: engines that change back and forth serve nobody.
  */
 internal class StageKeeper(
     private val duty: StageDutyRegister,
@@ -83,13 +83,14 @@
         view: RoutingView,
     ) {
         val prefill = engines.filter { stageOf(it) == EndpointStage.PREFILL }
-        val missing = StageBalance.wantedPrefill(engines.size) - prefill.size
         if (prefill.isNotEmpty()) hadPrefill += service
-        if (missing <= 0) shortSince.remove(service)
-        if (missing > 0) return fill(service, engines, view)
-        if (missing == 0 || unchangedSince.elapsedNow().inWholeMilliseconds < SETTLED_MS) return
-        val movable = prefill.filterNot { wasOrdered(it) }.sortedBy { it.id.value }.groupBy { it.zone.value }
-        StageBalance.surplus(engines.size, movable).take(-missing).forEach { order(it, EndpointStage.DECODE, view) }
+        if (StageBalance.isShort(engines.size, prefill.size)) return fill(service, engines, view)
+        shortSince.remove(service)
+        val surplus = prefill.size - StageBalance.wantedPrefill(engines.size)
+        if (surplus <= 0 || unchangedSince.elapsedNow().inWholeMilliseconds < SETTLED_MS) return
+        val movable = prefill.filterNot { engine -> orders.keys.any { it.concerns(engine) } }
+        val byZone = movable.sortedBy { it.id.value }.groupBy { it.zone.value }
+        StageBalance.surplus(engines.size, byZone).take(surplus).forEach { order(it, EndpointStage.DECODE, view) }
     }
 
     /** Orders one engine at a time to the prefill stage once the shortage has lasted. */
