Attribute responses of endpoints to the pending request only

Cause: a response without an id was taken for that of the pending request, and a connection that had carried a refusal was used again. An endpoint that wrote an earlier response once more on a kept connection made the entry deliver it to the next caller, tell "not run" for a request that ran, or send such a request to a second endpoint. Change: on a connection that has carried a response, only a response with the id of the pending request counts, and a response with an id does not answer a request of the entry's own, which has none. Connections that carried a refusal of a request, or a response without the id, are closed afterwards. Refused reservations keep their connection: a run on it needs its id. Ruled out: ids alone; they are the same when a caller repeats a request under its id.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -20,8 +20,10 @@
 import kotlin.time.TimeSource
 
 /**
- * One connection to an endpoint, which carries one request at a time. A response with the id of another request is skipped,
- * because endpoints may send a surplus response late. A connection that received unexpected data is not reused.
+ * One connection to an endpoint, which carries one request at a time. Endpoints may send a surplus response late, even one
+ * without an id, so on a connection that has carried a response before, only a response with the id of the pending request
+ * is accepted; others are skipped. A connection that received unexpected data is not reused, and neither is one that carried
+ * a refusal: a repeated refusal could bear the id of a request that is sent again on the same connection.
  */
 internal class EndpointConnection(
     val endpoint: EndpointId,
@@ -37,6 +39,9 @@
     private var requestId: String? = null
     private var isSkippingResponse = false
     private var isReusable = true
+
+    /** True once a response has arrived, so that a later one may be a copy of it. */
+    private var hasCarriedResponse = false
     private var idleSince = timeSource.markNow()
 
     /** Idle time after which the endpoint may close the connection. */
@@ -95,22 +100,31 @@
 
     private fun receiveHead(response: HttpResponse) {
         val pendingResponse = pending ?: return failConnection("response without a request")
-        if (HttpStatusClass.INFORMATIONAL.contains(response.status().code()) || isForOtherRequest(response)) {
+        if (HttpStatusClass.INFORMATIONAL.contains(response.status().code())) {
             isSkippingResponse = true
             isReusable = isReusable && response.status() == HttpResponseStatus.CONTINUE
             return
         }
-        isSkippingResponse = false
+        isSkippingResponse = !isForPendingRequest(response)
+        hasCarriedResponse = true
+        if (!isReusableAfter(response)) isReusable = false
+        if (isSkippingResponse) return
         readLimit.onProgress()
-        if (!HttpUtil.isKeepAlive(response) || !hasLength(response)) isReusable = false
         response.headers().get(KEEP_ALIVE)?.let(::setKeepAlive)
         pendingResponse.begin(ResponseHead(response.status().code(), response.headers()))
     }
 
-    /** True if the response carries the id of another request. */
-    private fun isForOtherRequest(response: HttpResponse): Boolean {
-        val expected = requestId ?: return false
-        return (protocol.answeredRequestId(response.headers()) ?: expected) != expected
+    /** A response without an id can be attributed to the pending request only if it is the first one on the connection. */
+    private fun isForPendingRequest(response: HttpResponse): Boolean {
+        val answered = protocol.answeredRequestId(response.headers()) ?: return requestId == null || !hasCarriedResponse
+        return answered == requestId
+    }
+
+    private fun isReusableAfter(response: HttpResponse): Boolean {
+        if (isSkippingResponse || !HttpUtil.isKeepAlive(response) || !hasLength(response)) return false
+        if (requestId == null) return true
+        return protocol.answeredRequestId(response.headers()) != null &&
+            !protocol.provesNotRun(response.status().code(), response.headers())
     }
 
     private fun hasLength(response: HttpResponse) =
