--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -27,6 +27,7 @@
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.TimeUnit
@@ -74,24 +75,33 @@
     public fun start() {
         listener.start(settings.callerAddress)
         operations.start()
-        scope.launch { pruneEndpoints() }
+        scope.launch { repeatGuarded(PRUNE_INTERVAL_MS) { pruneEndpoints() } }
     }
 
     /** Starts balancing engines between the stages; this instance sends stage orders only while it holds [lease]. */
     public fun startStageBalancing(lease: StageLease) {
-        scope.launch { StageBalancer(lease, views, client, selector, protocol, events).run() }
+        val balancer = StageBalancer(lease, views, client, selector, protocol, events)
+        scope.launch { repeatGuarded(StageBalancer.CHECK_INTERVAL_MS) { balancer.check() } }
     }
 
-    /** Periodically drops connections and state of endpoints that have left the fleet. */
-    private suspend fun pruneEndpoints() {
+    /** Runs [action] periodically until cancelled. An error is logged and ends one round only. */
+    private suspend fun repeatGuarded(
+        intervalMs: Long,
+        action: suspend () -> Unit,
+    ) {
         while (true) {
-            delay(PRUNE_INTERVAL_MS)
-            val known = views.current.endpoints.keys
-            pool.retain(known)
-            selector.retain(known)
+            delay(intervalMs)
+            supervisorScope { launch(exceptionHandler) { action() } }
         }
     }
 
+    /** Drops connections and state of endpoints that have left the fleet. */
+    private fun pruneEndpoints() {
+        val known = views.current.endpoints.keys
+        pool.retain(known)
+        selector.retain(known)
+    }
+
     /** Reports not ready, still serves new requests, and waits until all have completed; false if the drain timeout expired first. */
     public suspend fun drain(): Boolean {
         isStopping = true
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
@@ -10,7 +10,6 @@
 import io.knapweedferry.routing.pipeline.EndpointClient
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.LogEvent
-import kotlinx.coroutines.delay
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
@@ -38,13 +37,10 @@
     private var lastMembers: Set<Pair<String, Long>> = emptySet()
     private var stableSince: TimeMark = timeSource.markNow()
 
-    /** Checks the number of prefill engines periodically until cancelled. */
-    suspend fun run() {
-        while (true) {
-            delay(CHECK_INTERVAL_MS)
-            applyAnnouncedOrders()
-            checkServices(views.current)
-        }
+    /** Applies announced orders and checks the number of prefill engines; called every [CHECK_INTERVAL_MS]. */
+    suspend fun check() {
+        applyAnnouncedOrders()
+        checkServices(views.current)
     }
 
     private fun applyAnnouncedOrders() {
@@ -137,17 +133,17 @@
         events.write(LogEvent.ORDER_SENT, *fields, "fleet_version" to view.fleetVersion, "result" to status)
     }
 
-    private companion object {
+    companion object {
         const val CHECK_INTERVAL_MS = 500L
 
         /** The fleet is stable after this time without a change; while it starts up or is replaced, changes come more often. */
-        const val STABLE_FLEET_MS = 3_000L
+        private const val STABLE_FLEET_MS = 3_000L
 
         /** An engine that is replaced by one of the same stage is missing for less than this. */
-        const val PREFILL_LOSS_GRACE_MS = 1_000L
+        private const val PREFILL_LOSS_GRACE_MS = 1_000L
 
         /** An engine finishes its runs and changes its stage within about 9 s; an order without a response may arrive up to 12 s late. */
-        const val STAGE_CHANGE_TIMEOUT_MS = 20_000L
-        const val ORDER_TIMEOUT_MS = 1_000L
+        private const val STAGE_CHANGE_TIMEOUT_MS = 20_000L
+        private const val ORDER_TIMEOUT_MS = 1_000L
     }
 }
