Check a permission right before the request that uses it is written

Cause: a stage order was announced, and the process could then be paused, or wait for a connection for up to 400 ms, before it wrote the order; nothing looked at the lease again. The deadline of a request was read before its connection was established. The time spent on the connection is taken off the deadline, and nothing is sent after it. Measured: without the check EngineLossSpec "an order whose grant has expired before it is written is not sent" sends the order.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
@@ -128,7 +128,7 @@
         val grant = lease.announce(order) ?: return
         recordOrder(order)
         val request = protocol.orderStage(StageOrder(engine.id, stage, grant.holder, grant.fencingToken))
-        val status = client.sendControl(engine, request, ORDER_TIMEOUT_MS).fold({ it.detail }, { it.status.toString() })
+        val status = client.sendControl(engine, request, ORDER_TIMEOUT_MS, grant.isValid).fold({ it.detail }, { it.status.toString() })
         val fields = arrayOf("endpoint" to engine.id.value, "stage" to stage, "fence" to grant.fencingToken)
         events.write(LogEvent.ORDER_SENT, *fields, "fleet_version" to view.fleetVersion, "result" to status)
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageLease.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageLease.kt
@@ -13,7 +13,7 @@
 
     /**
      * Announces [order] and renews the lease; null if the lease is lost or the renewal is not confirmed in time. The grant is
-     * valid for a short time only, so the order must be sent immediately.
+     * valid for a short time only, and the order must not be sent after it has expired.
      */
     public suspend fun announce(order: AnnouncedStageOrder): StageLeaseGrant?
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageLeaseGrant.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageLeaseGrant.kt
@@ -6,4 +6,6 @@
     val holder: String,
     /** Fencing token of the orders. */
     val fencingToken: Long,
+    /** False once the grant has expired; checked right before the order is written, because the process may have been paused. */
+    val isValid: () -> Boolean,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.flatMap
 import arrow.core.left
+import arrow.core.right
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.call.ControlRequest
@@ -11,6 +12,7 @@
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.upstream.AttemptFailure
+import io.knapweedferry.routing.upstream.EndpointConnection
 import io.knapweedferry.routing.upstream.EndpointPool
 import io.knapweedferry.routing.upstream.OutboundRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -19,6 +21,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.TimeSource
 
 /** Sends requests to a given endpoint and records the load and the outcome in its [EndpointTracker]. */
 internal class EndpointClient(
@@ -26,6 +29,7 @@
     private val selector: EndpointSelector,
     private val protocol: UpstreamProtocol,
     private val scope: CoroutineScope,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
     /** Connects and sends the request. The caller must close the returned attempt. */
     suspend fun open(
@@ -38,17 +42,21 @@
         val tracker = selector.tracker(endpoint.id)
         val inFlight = tracker.begin(options.kvTokens, options.pendingPrefillTokens, options.expectedFirstByteMs)
         var isOpen = false
+        val connecting = timeSource.markNow()
         try {
             val connected = pool.acquire(endpoint, options.maxIdleMs)
             return connected
                 .onLeft {
                     tracker.recordUnreachable("connect")
                     record.recordStep("unreachable:${endpoint.id.value}")
-                }.map { connection ->
-                    val response = connection.send(outboundRequest(record.call, endpoint, terms))
+                }.flatMap { connection ->
+                    // The connection may have taken long to establish, or the process may have been paused meanwhile.
+                    val remainingMs = terms.remainingMs - connecting.elapsedNow().inWholeMilliseconds
+                    if (remainingMs <= 0) return@flatMap notSent(connection, "the deadline has passed")
+                    val response = connection.send(outboundRequest(record.call, endpoint, terms.copy(remainingMs = remainingMs)))
                     record.recordSent(choice, terms)
                     isOpen = true
-                    Attempt(endpoint, inFlight, tracker, connection, response, protocol)
+                    Attempt(endpoint, inFlight, tracker, connection, response, protocol).right()
                 }
         } finally {
             if (!isOpen) inFlight.end()
@@ -70,13 +78,17 @@
             }
         }
 
-    /** Sends a request that originates in the entry and returns the complete response. */
+    /**
+     * Sends a request that originates in the entry and returns the complete response. [isPermitted] is asked once there is a
+     * connection, right before the request is written.
+     */
     suspend fun sendControl(
         endpoint: RoutedEndpoint,
         request: ControlRequest,
         timeoutMs: Long,
+        isPermitted: () -> Boolean = { true },
     ): Either<AttemptFailure, BufferedResponse> =
-        withTimeoutOrNull(timeoutMs) { exchange(endpoint, request) }
+        withTimeoutOrNull(timeoutMs) { exchange(endpoint, request, isPermitted) }
             ?: AttemptFailure.NoResponse("no response within $timeoutMs ms").left()
 
     /** Like [sendControl], but does not wait for the response. */
@@ -90,12 +102,14 @@
     private suspend fun exchange(
         endpoint: RoutedEndpoint,
         request: ControlRequest,
+        isPermitted: () -> Boolean,
     ): Either<AttemptFailure, BufferedResponse> {
         val headers = DefaultHttpHeaders().add(request.headers).set(HttpHeaderNames.HOST, endpoint.hostHeader())
         if (request.body.isNotEmpty()) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
         return pool.acquire(endpoint, Long.MAX_VALUE).flatMap { connection ->
+            if (!isPermitted()) return@flatMap notSent(connection, "the permission to send it has expired")
             val response = connection.send(OutboundRequest(request.method, request.target, headers, request.body, null))
             try {
                 response.head().flatMap { head ->
@@ -107,6 +121,14 @@
         }
     }
 
+    private fun notSent(
+        connection: EndpointConnection,
+        detail: String,
+    ): Either<AttemptFailure, Nothing> {
+        connection.close()
+        return AttemptFailure.NotSent(detail).left()
+    }
+
     private fun outboundRequest(
         call: CallRequest,
         endpoint: RoutedEndpoint,
