Size the prefill stage by what the requests of a service need

Cause: a fixed quarter of the engines was in the prefill stage, a share that fits the memory of one deployment. Change: StageDemand learns from completed runs how long each kind occupies a prefill engine and a part of a decode engine's KV cache; the target keeps the prefill engines at three quarters of their time when the decode engines are full. Ruled out: fewer prefill engines everywhere.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/StageBalance.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/StageBalance.kt
@@ -1,19 +1,20 @@
 package io.knapweedferry.policy.routing
 
-import kotlin.math.max
-import kotlin.math.roundToInt
+import kotlin.math.ceil
 
 /** Sizes the prefill stage of a service whose engines run disaggregated prefill and decode. */
 public object StageBalance {
+    /** A need above a whole number by less than this does not justify a further engine. */
+    private const val ROUNDING_SLACK = 0.3
+
     /**
-     * Share of the engines in the prefill stage. A typical request keeps a prefill engine busy for a fifth of the time that
-     * it occupies its part of a decode engine. The rest is headroom, because a queue at the prefill stage delays the first
-     * token of every request.
+     * Target number of prefill engines among [engines] whose requests need [prefillShare] of them in the prefill stage. At
+     * least one, unless there is only one engine.
      */
-    public const val PREFILL_SHARE: Double = 0.25
-
-    /** Target number of prefill engines among [engines], rounded half up. At least one, unless there is only one engine. */
-    public fun targetPrefillEngines(engines: Int): Int = if (engines < 2) 0 else max(1, (engines * PREFILL_SHARE).roundToInt())
+    public fun targetPrefillEngines(
+        engines: Int,
+        prefillShare: Double,
+    ): Int = if (engines < 2) 0 else ceil(engines * prefillShare - ROUNDING_SLACK).toInt().coerceIn(1, engines - 1)
 
     /**
      * Whether the prefill stage is so far below its target that an engine should change to it. A change takes the engine
@@ -23,7 +24,8 @@
     public fun needsPrefillEngine(
         engines: Int,
         prefill: Int,
-    ): Boolean = prefill * 2 < targetPrefillEngines(engines)
+        prefillShare: Double,
+    ): Boolean = prefill * 2 < targetPrefillEngines(engines, prefillShare)
 
     /**
      * Returns the prefill engines beyond the target, taken from the zone with the most prefill engines first.
@@ -31,11 +33,12 @@
      */
     public fun <E> surplusPrefillEngines(
         engines: Int,
+        prefillShare: Double,
         prefillByZone: Map<String, List<E>>,
     ): List<E> {
         val remaining = prefillByZone.mapValues { it.value.toMutableList() }
         val surplus = mutableListOf<E>()
-        repeat(prefillByZone.values.sumOf { it.size } - targetPrefillEngines(engines)) {
+        repeat(prefillByZone.values.sumOf { it.size } - targetPrefillEngines(engines, prefillShare)) {
             val zone = remaining.entries.sortedBy { it.key }.maxBy { it.value.size }
             surplus += zone.value.removeLast()
         }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -4,6 +4,7 @@
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
 import io.knapweedferry.routing.fleet.StageBalancer
+import io.knapweedferry.routing.fleet.StageDemands
 import io.knapweedferry.routing.fleet.StageLease
 import io.knapweedferry.routing.http.CallerListener
 import io.knapweedferry.routing.model.RoutingViewHolder
@@ -54,6 +55,7 @@
     private val pool = EndpointPool(group, protocol)
     private val selector = EndpointSelector(settings.zone, events, TimeSource.Monotonic)
     private val retryBudgets = RetryBudgets(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
+    private val stageDemands = StageDemands()
     private val recorder = CallRecorder(events, metrics)
     private val client = EndpointClient(pool, selector, protocol, scope)
     private val listener = CallerListener(group, scope, pipeline(), protocol, views, events, metrics)
@@ -66,7 +68,8 @@
 
     private fun pipeline(): CallPipeline {
         val plain = PlainForwarder(client, selector, retryBudgets, protocol, recorder, settings.forwarding)
-        val admissions = AdmissionController(EngineReservations(client, selector, protocol, metrics), selector, scope, metrics)
+        val reservations = EngineReservations(client, selector, protocol, metrics)
+        val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
         val stream = StreamForwarder(client, admissions, selector, retryBudgets, protocol, recorder, settings.forwarding)
         return CallPipeline(views, plain, stream, retryBudgets, protocol, recorder)
     }
@@ -80,7 +83,7 @@
 
     /** Starts balancing engines between the stages; this instance sends stage orders only while it holds [lease]. */
     public fun startStageBalancing(lease: StageLease) {
-        val balancer = StageBalancer(lease, views, client, selector, protocol, events)
+        val balancer = StageBalancer(lease, views, client, selector, protocol, stageDemands, events)
         scope.launch { repeatGuarded(StageBalancer.CHECK_INTERVAL_MS) { balancer.check() } }
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
@@ -1,5 +1,6 @@
 package io.knapweedferry.routing.fleet
 
+import io.knapweedferry.api.ServiceName
 import io.knapweedferry.policy.routing.StageBalance
 import io.knapweedferry.routing.call.StageOrder
 import io.knapweedferry.routing.call.UpstreamProtocol
@@ -25,15 +26,16 @@
     private val client: EndpointClient,
     private val selector: EndpointSelector,
     private val protocol: UpstreamProtocol,
+    private val demands: StageDemands,
     private val events: EventLog,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
     /** Announced orders with the time at which this entry received them. */
     private val orders = HashMap<AnnouncedStageOrder, TimeMark>()
-    private val shortageSince = HashMap<String, TimeMark>()
+    private val shortageSince = HashMap<ServiceName, TimeMark>()
 
     /** Services that have had a prefill engine. In any other service, a shortage may only mean that the fleet is starting up. */
-    private val servicesWithPrefill = HashSet<String>()
+    private val servicesWithPrefill = HashSet<ServiceName>()
     private var lastMembers: Set<Pair<String, Long>> = emptySet()
     private var stableSince: TimeMark = timeSource.markNow()
 
@@ -60,7 +62,7 @@
         trackMembership(view)
         view.endpoints.values
             .filter { it.stage != null && !it.isDraining }
-            .groupBy { it.service.value }
+            .groupBy { it.service }
             .forEach { (service, engines) -> balance(service, engines, view) }
     }
 
@@ -75,24 +77,28 @@
     }
 
     private suspend fun balance(
-        service: String,
+        service: ServiceName,
         engines: List<RoutedEndpoint>,
         view: RoutingView,
     ) {
+        val share = demands.of(service).prefillShare
         val prefill = engines.filter { effectiveStage(it) == EndpointStage.PREFILL }
         if (prefill.isNotEmpty()) servicesWithPrefill += service
-        if (StageBalance.needsPrefillEngine(engines.size, prefill.size)) return resolveShortage(service, engines, view)
+        if (StageBalance.needsPrefillEngine(engines.size, prefill.size, share)) return resolveShortage(service, engines, view)
         shortageSince.remove(service)
-        val surplus = prefill.size - StageBalance.targetPrefillEngines(engines.size)
+        val surplus = prefill.size - StageBalance.targetPrefillEngines(engines.size, share)
         if (surplus <= 0 || stableSince.elapsedNow().inWholeMilliseconds < STABLE_FLEET_MS) return
         val movable = prefill.filterNot { engine -> orders.keys.any { it.concerns(engine) } }
         val byZone = movable.sortedBy { it.id.value }.groupBy { it.zone.value }
-        StageBalance.surplusPrefillEngines(engines.size, byZone).take(surplus).forEach { sendOrder(it, EndpointStage.DECODE, view) }
+        StageBalance
+            .surplusPrefillEngines(engines.size, share, byZone)
+            .take(surplus)
+            .forEach { sendOrder(it, EndpointStage.DECODE, view) }
     }
 
     /** Once a shortage has lasted for the grace period, orders one engine at a time to the prefill stage. */
     private suspend fun resolveShortage(
-        service: String,
+        service: ServiceName,
         engines: List<RoutedEndpoint>,
         view: RoutingView,
     ) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionController.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionController.kt
@@ -3,6 +3,8 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.routing.fleet.EndpointSelector
+import io.knapweedferry.routing.fleet.StageDemands
+import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.telemetry.RoutingMetrics
 import kotlinx.coroutines.CoroutineScope
@@ -17,6 +19,7 @@
 internal class AdmissionController(
     private val reservations: EngineReservations,
     private val selector: EndpointSelector,
+    private val stageDemands: StageDemands,
     private val scope: CoroutineScope,
     private val metrics: RoutingMetrics,
     private val timeSource: TimeSource = TimeSource.Monotonic,
@@ -44,6 +47,19 @@
     /** Number of requests that wait for an engine of [service]. */
     fun waitingCount(service: ServiceName): Int = queues[service]?.size ?: 0
 
+    /** Called when the run of [job] has completed at an engine that held its KV cache for [heldMs]. */
+    fun recordCompletedRun(
+        job: ForwardingJob,
+        engine: EngineProfile,
+        heldMs: Long,
+    ) {
+        if (engine.kvCapacityTokens == 0) return
+        val kvShare =
+            job.call.traits.kvTokens
+                .toDouble() / engine.kvCapacityTokens
+        stageDemands.of(job.service.name).recordRun(RunTimeEstimate(job).prefillMs(EndpointStage.PREFILL), kvShare, heldMs)
+    }
+
     /** Called when a run at [endpoint] has ended, so that it may have capacity again. */
     fun onCapacityReleased(
         service: ServiceName,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -86,6 +86,7 @@
                 return null
             }
             record.recordStep("admitted")
+            val admittedAtMs = job.call.elapsedMs
             val choice = admission.choice
             tried += choice.endpoint.id
             val kvSource = if (shouldPrefill()) runPrefill() else null
@@ -95,7 +96,9 @@
                         choice.endpoint,
                     ).copy(kvSource = kvSource, reservation = admission.reservation, lastEventId = relay.lastEventId)
             val opened = client.open(record, choice, terms, options(choice, kvSource != null))
-            return opened.fold({ connectFailed(it) }, { attempt -> receive(choice, attempt, terms) })
+            val outcome = opened.fold({ connectFailed(it) }, { attempt -> receive(choice, attempt, terms) })
+            if (outcome == Outcome.Completed) admissions.recordCompletedRun(job, engine, job.call.elapsedMs - admittedAtMs)
+            return outcome
         }
 
         private fun shouldPrefill() = relay.lastEventId == null && record.sentCount == 0
