Prefer the prefill engine in the zone of the decode engine

Cause: the prefill engine was chosen near the entry, but the KV cache travels to the decode engine. Change: a penalty of 15 ms for another zone than that of the decode engine, less than a fifth of reading a prompt.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/EndpointCost.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/EndpointCost.kt
@@ -31,6 +31,9 @@
         return (prefillMs + batchMs + kvWaitMs) * condition.latencyRatio + penaltiesMs(condition)
     }
 
+    /** Cost of passing a KV cache on; a transfer between availability zones takes a share of a link that all of them use. */
+    public fun kvTransferMs(isSameZone: Boolean): Double = if (isSameZone) 0.0 else CROSS_ZONE_TRANSFER_MS
+
     private fun penaltiesMs(condition: EndpointCondition): Double {
         val zonePenaltyMs = if (condition.isSameZone) 0.0 else CROSS_ZONE_PENALTY_MS
         val avoidedPenaltyMs = if (condition.isAvoided) AVOIDED_PENALTY_MS else 0.0
@@ -43,6 +46,9 @@
     /** Round trip between zones plus the cost of cross-zone traffic. */
     private const val CROSS_ZONE_PENALTY_MS = 4.0
 
+    /** A fraction of the time to read a typical prompt: an engine of the same zone with a queue is not preferred to an idle one. */
+    private const val CROSS_ZONE_TRANSFER_MS = 15.0
+
     /** Exceeds any deadline, so that an avoided endpoint is the last choice but remains one. */
     private const val AVOIDED_PENALTY_MS = 20_000.0
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointSelector.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointSelector.kt
@@ -36,20 +36,34 @@
     fun selectPlain(candidates: List<RoutedEndpoint>): EndpointChoice? =
         cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_SERVICE_TIME_MS) }
 
-    /** Selects an engine of [stage]. [fillOrder] adds a preference between engines; null adds none. */
-    fun selectEngine(
+    /** Selects an engine that runs the request, with the preference of [fillOrder] between engines. */
+    fun selectDecode(
         candidates: List<RoutedEndpoint>,
-        stage: EndpointStage,
         traits: CallTraits,
         profile: EngineProfile,
-        fillOrder: FillOrder?,
-    ): EndpointChoice? {
-        val tokensPerMs = if (stage == EndpointStage.PREFILL) PREFILL_TOKENS_PER_MS else DECODE_PREFILL_TOKENS_PER_MS
-        return cheapest(candidates.filter { it.stage == stage }) {
-            val fillOrderMs = fillOrder?.costMs(it.id.value) ?: 0.0
-            fillOrderMs + EndpointCost.engine(condition(it, profile.kvCapacityTokens), traits.promptTokens, traits.kvTokens, tokensPerMs)
+        fillOrder: FillOrder,
+    ): EndpointChoice? =
+        cheapest(candidates.filter { it.stage == EndpointStage.DECODE }) {
+            fillOrder.costMs(it.id.value) + engineCostMs(it, traits, profile, DECODE_PREFILL_TOKENS_PER_MS)
         }
-    }
+
+    /** Selects an engine that reads the prompt and passes the KV cache on to [decodeEngine]. */
+    fun selectPrefill(
+        candidates: List<RoutedEndpoint>,
+        traits: CallTraits,
+        profile: EngineProfile,
+        decodeEngine: RoutedEndpoint,
+    ): EndpointChoice? =
+        cheapest(candidates.filter { it.stage == EndpointStage.PREFILL }) {
+            EndpointCost.kvTransferMs(it.zone == decodeEngine.zone) + engineCostMs(it, traits, profile, PREFILL_TOKENS_PER_MS)
+        }
+
+    private fun engineCostMs(
+        engine: RoutedEndpoint,
+        traits: CallTraits,
+        profile: EngineProfile,
+        prefillTokensPerMs: Double,
+    ) = EndpointCost.engine(condition(engine, profile.kvCapacityTokens), traits.promptTokens, traits.kvTokens, prefillTokensPerMs)
 
     private inline fun cheapest(
         candidates: List<RoutedEndpoint>,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
@@ -4,7 +4,6 @@
 import io.knapweedferry.policy.admission.GrantRateEstimator
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
-import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
 import kotlinx.coroutines.CoroutineScope
@@ -117,7 +116,7 @@
         val engines = selector.withoutAvoided(ticket.candidateEngines())
         refusalRetryMs = (engines.size * MS_PER_SECOND / MAX_RESERVATIONS_PER_SECOND).coerceIn(MIN_REFUSAL_RETRY_MS, MAX_REFUSAL_RETRY_MS)
         val candidates = engines.filterNot { it.id in pendingEndpoints || hasRecentlyRefused(it, tokens) }
-        return selector.selectEngine(candidates, EndpointStage.DECODE, ticket.job.call.traits, engine, ticket.fillOrder)
+        return selector.selectDecode(candidates, ticket.job.call.traits, engine, ticket.fillOrder)
     }
 
     private fun requestReservation(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -89,7 +89,7 @@
             val admittedAtMs = job.call.elapsedMs
             val choice = admission.choice
             tried += choice.endpoint.id
-            val kvSource = if (shouldPrefill()) runPrefill() else null
+            val kvSource = if (shouldPrefill()) runPrefill(choice.endpoint) else null
             val terms =
                 job
                     .terms(
@@ -118,10 +118,10 @@
             if (failure is AttemptFailure.NotSent) Outcome.NotSent else Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST)
 
         /** Sends the prompt to a prefill engine; if this returns null, the decode engine processes the prompt itself. */
-        private suspend fun runPrefill(): KvSourceRef? {
+        private suspend fun runPrefill(decodeEngine: RoutedEndpoint): KvSourceRef? {
             // A failed prefill counts against the fleet-wide retry budget.
             if (retryBudget.available() == 0) return null
-            val prefill = selector.selectEngine(candidates(), EndpointStage.PREFILL, job.call.traits, engine, null) ?: return null
+            val prefill = selector.selectPrefill(candidates(), job.call.traits, engine, decodeEngine) ?: return null
             val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
             val timeoutMs =
                 minOf(
