Count the progress of streams in events, and give a run up only to an engine with room

Cause: any byte counted as progress, so an engine that sent a comment or a byte now and then kept a resumable stream until its deadline. The other way round, an attempt that paused for longer than four target gaps was closed before another engine had been found; with full engines a slow but sound stream was cut. Change: only complete events with data count. A replacement is reserved, and charged to the retry budget, while the present attempt goes on; without one the attempt is kept, and it is asked for again after the next pause. The same holds for the wait for the first response. Timed reads use select, because a cancelled read may lose a part of the stream.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionController.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionController.kt
@@ -44,6 +44,9 @@
         }
     }
 
+    /** Gives back an admission that is not used. */
+    fun release(admission: Admission) = reservations.release(admission)
+
     /** Number of requests that wait for an engine of [service]. */
     fun waitingCount(service: ServiceName): Int = queues[service]?.size ?: 0
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/Attempt.kt
@@ -33,10 +33,13 @@
         if (head.status < STATUS_SERVER_ERROR) inFlight.onResponseStarted() else tracker.health.recordFailure()
     }
 
-    suspend fun next(): ResponsePart {
-        val part = response.next()
+    suspend fun next(): ResponsePart = response.next().also(::onPart)
+
+    /** Next part, or null if none arrives within [timeoutMs]; the attempt may be read further after that. */
+    suspend fun nextWithin(timeoutMs: Long): ResponsePart? = response.nextWithin(timeoutMs)?.also(::onPart)
+
+    private fun onPart(part: ResponsePart) {
         if (part is ResponsePart.Broken) onBroken()
-        return part
     }
 
     private fun onBroken() {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -1,21 +1,23 @@
 package io.knapweedferry.routing.pipeline
 
 import io.knapweedferry.routing.upstream.ResponsePart
-import kotlinx.coroutines.withTimeoutOrNull
 
-/** Relays the events of one stream to the caller. Several consecutive attempts may produce the stream. */
+/**
+ * Relays the events of one stream to the caller. Several consecutive attempts may produce the stream. Progress is counted in
+ * complete events that carry data: a stalled engine may still send a byte or a comment now and then.
+ */
 internal class EventRelay(
     private val job: ForwardingJob,
     private val settings: ForwardingSettings,
-    /** True if another engine can take over the run. */
-    private val canFailOver: () -> Boolean,
+    /** Called when an attempt makes no progress; true if another engine has taken over the run. */
+    private val failOver: suspend () -> Boolean,
 ) {
     /** How the event stream of one attempt ended. */
     enum class End {
         COMPLETE,
         BROKEN,
 
-        /** No data arrived within the pause timeout. */
+        /** No event arrived within the pause timeout, and another engine has taken over. */
         PAUSED,
 
         /** An event or the whole stream exceeds its size limit. */
@@ -26,9 +28,13 @@
     var lastEventId = job.call.traits.lastEventId
         private set
 
+    /** Time since arrival of the last event with data of the present attempt, or of its start. */
+    private var lastProgressMs = 0L
+
     suspend fun relay(attempt: Attempt): End {
         val splitter = EventSplitter()
         var receivedBytes = 0
+        lastProgressMs = job.call.elapsedMs
         while (true) {
             val part = nextPart(attempt) ?: return End.PAUSED
             when (part) {
@@ -49,10 +55,17 @@
         return End.COMPLETE
     }
 
+    /** Null once another engine has taken over. An attempt that no engine can take over is never given up for its pauses. */
     private suspend fun nextPart(attempt: Attempt): ResponsePart? {
-        val targetGapMs = job.route.targetEventGapMs
-        if (targetGapMs == null || !canFailOver()) return attempt.next()
-        return withTimeoutOrNull((targetGapMs * settings.pauseTimeoutFactor).toLong()) { attempt.next() }
+        val targetGapMs = job.route.targetEventGapMs ?: return attempt.next()
+        val maxPauseMs = (targetGapMs * settings.pauseTimeoutFactor).toLong().coerceAtLeast(MIN_PAUSE_MS)
+        while (true) {
+            val leftMs = maxPauseMs - (job.call.elapsedMs - lastProgressMs)
+            if (leftMs > 0) attempt.nextWithin(leftMs)?.let { return it }
+            if (leftMs > 0) continue
+            if (failOver()) return null
+            lastProgressMs = job.call.elapsedMs
+        }
     }
 
     private suspend fun deliver(events: List<StreamEvent>) {
@@ -60,9 +73,13 @@
         job.record.recordWrite()
         job.reply.write(EventSplitter.join(events))
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
+        if (events.any { it.hasData }) lastProgressMs = job.call.elapsedMs
     }
 
     private companion object {
+        /** Limits how often another engine is asked to take over, whatever the route says. */
+        const val MIN_PAUSE_MS = 100L
+
         /** Events of current models are below 1 KB. */
         const val MAX_EVENT_BYTES = 256 * 1024
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingSettings.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingSettings.kt
@@ -12,6 +12,8 @@
     val responseTimeoutFactor: Double = 1.0,
     /** A resumable stream is resumed at another engine after a gap of this multiple of the route's target gap between events. */
     val pauseTimeoutFactor: Double = 4.0,
+    /** Longest wait for a reservation at the engine that takes over from an attempt without progress. */
+    val replacementWaitMs: Long = 300,
     /** Failed connection attempts after which a request is refused. */
     val maxConnectFailures: Int = 4,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamEvent.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamEvent.kt
@@ -13,7 +13,13 @@
             ?.trim()
     }
 
+    /** False for a comment, which an engine may send to keep the connection open. */
+    val hasData: Boolean by lazy(LazyThreadSafetyMode.NONE) {
+        String(bytes, Charsets.ISO_8859_1).lineSequence().any { it.startsWith(DATA_FIELD) }
+    }
+
     private companion object {
         const val ID_FIELD = "id:"
+        const val DATA_FIELD = "data"
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -45,7 +45,10 @@
         private val estimate = RunTimeEstimate(job)
         private val retryBudget = retryBudgets.of(job.service.name)
         private val tried = HashSet<EndpointId>()
-        private val relay = EventRelay(job, settings, ::canFailOver)
+        private val relay = EventRelay(job, settings, ::reserveReplacement)
+
+        /** Reservation at the engine that takes over from an attempt without progress. */
+        private var replacement: Admission? = null
         private var refusal = LocalResponse.NO_ENDPOINT
         private var errorResponse: BufferedResponse? = null
         private var connectFailures = 0
@@ -63,6 +66,7 @@
             when (outcome) {
                 Outcome.Completed -> false
                 Outcome.NotSent -> true.also { connectFailures++ }
+                is Outcome.Replaced -> true.also { recorder.recordRetry(record, outcome.reason) }
                 is Outcome.Retryable -> retry(outcome)
             }
 
@@ -78,8 +82,8 @@
 
         /** Null if no engine granted a reservation in time. */
         private suspend fun attempt(): Outcome? {
-            val ticket = AdmissionTicket(job, job.reply.hasStarted, estimate.timeToFirstEventMs, candidates, tried)
-            val admission = admissions.admit(ticket, engine, estimate.maxQueueWaitMs)
+            val admission = replacement ?: admit(isResumed = job.reply.hasStarted, estimate.maxQueueWaitMs)
+            replacement = null
             if (admission == null) {
                 record.recordStep("no_room:${admissions.waitingCount(job.service.name)}")
                 refusal = LocalResponse.ENDPOINTS_FULL
@@ -101,6 +105,26 @@
             return outcome
         }
 
+        private suspend fun admit(
+            isResumed: Boolean,
+            waitMs: Long,
+        ): Admission? = admissions.admit(AdmissionTicket(job, isResumed, estimate.timeToFirstEventMs, candidates, tried), engine, waitMs)
+
+        /**
+         * Reserves another engine for a run without progress. The present attempt goes on until there is one, because it may be
+         * slow but sound.
+         */
+        private suspend fun reserveReplacement(): Boolean {
+            if (!canFailOver()) return false
+            val admission = admit(isResumed = true, settings.replacementWaitMs) ?: return false
+            if (!retryBudget.tryRetry()) {
+                admissions.release(admission)
+                return false
+            }
+            replacement = admission
+            return true
+        }
+
         private fun shouldPrefill() = relay.lastEventId == null && record.sentCount == 0
 
         private suspend fun receive(
@@ -147,13 +171,17 @@
             attempt: Attempt,
             terms: AttemptTerms,
         ): Outcome {
-            val head = awaitHead(attempt) ?: return Outcome.Retryable("no_answer_in_time", LocalResponse.ANSWER_LOST)
+            val head = awaitHead(attempt) ?: return Outcome.Replaced("no_answer_in_time")
             return head.fold({ Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST) }, { onResponse(attempt, terms, it) })
         }
 
+        /** Null once another engine has taken over. */
         private suspend fun awaitHead(attempt: Attempt): Either<AttemptFailure, ResponseHead>? {
-            if (!canFailOver()) return attempt.head()
-            return withTimeoutOrNull((job.route.targetLatencyMs * settings.responseTimeoutFactor).toLong()) { attempt.head() }
+            while (true) {
+                val timeoutMs = (job.route.targetLatencyMs * settings.responseTimeoutFactor).toLong().coerceAtLeast(MIN_RESPONSE_TIMEOUT_MS)
+                withTimeoutOrNull(timeoutMs) { attempt.head() }?.let { return it }
+                if (reserveReplacement()) return null
+            }
         }
 
         private suspend fun onResponse(
@@ -207,7 +235,7 @@
                 EventRelay.End.COMPLETE -> Outcome.Completed.also { recorder.recordDelivered(record, STATUS_OK) }
                 EventRelay.End.BROKEN -> Outcome.Retryable("stream_broken", LocalResponse.ANSWER_LOST)
                 EventRelay.End.TOO_LONG -> Outcome.Retryable("stream_too_long", LocalResponse.ANSWER_LOST)
-                EventRelay.End.PAUSED -> Outcome.Retryable("pause_too_long", LocalResponse.ANSWER_LOST)
+                EventRelay.End.PAUSED -> Outcome.Replaced("pause_too_long")
             }
 
         /** True if another engine can take over the run. */
@@ -253,6 +281,11 @@
 
         data object NotSent : Outcome
 
+        /** Another engine has been reserved to take over, and the retry has been charged to the budget. */
+        class Replaced(
+            val reason: String,
+        ) : Outcome
+
         class Retryable(
             val reason: String,
             val refusal: LocalResponse,
@@ -262,6 +295,9 @@
     private companion object {
         const val STATUS_OK = 200
 
+        /** Limits how often another engine is asked to take over, whatever the route says. */
+        const val MIN_RESPONSE_TIMEOUT_MS = 100L
+
         /** A prefill that takes this many times longer than on an idle engine is queued behind others; the decode engine takes over. */
         const val PREFILL_TIMEOUT_FACTOR = 8.0
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
@@ -4,7 +4,10 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 
 /**
  * Response that a connection is receiving. [pauseReading] applies backpressure to the connection while the reader lags
@@ -21,13 +24,21 @@
     suspend fun head(): Either<AttemptFailure, ResponseHead> = head.await()
 
     /** Next part of the body. Must not be called again after [ResponsePart.End] or [ResponsePart.Broken]. */
-    suspend fun next(): ResponsePart {
-        val part = parts.receive()
+    suspend fun next(): ResponsePart = parts.receive().also(::onTaken)
+
+    /** Like [next], but null if no part arrives within [timeoutMs]. No part is lost then, unlike with a cancelled [next]. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun nextWithin(timeoutMs: Long): ResponsePart? =
+        select {
+            parts.onReceive { it.also(::onTaken) }
+            onTimeout(timeoutMs) { null }
+        }
+
+    private fun onTaken(part: ResponsePart) {
         if (part is ResponsePart.Data) {
             bufferedBytes -= part.bytes.size
             if (isPaused && bufferedBytes < RESUME_BELOW_BYTES) setPaused(false)
         }
-        return part
     }
 
     fun begin(responseHead: ResponseHead) {
