Answer all that a stopping entry has accepted

Cause: when the deregistration delay had passed, the entry closed its listener and all idle connections at once, also those that had just been accepted and whose first request was on its way; connections in the queue of the listener were reset. Until its streams had ended, which takes seconds, it then refused connections, though the platform uses entries that are not ready when fewer than half of a zone's are. Change: plain requests are served until the model requests in progress have ended; new model requests are refused as not run (entry_stopping). The listener closes at a moment without new connections, after 1 s at the latest, and a new connection is kept for 500 ms for its first request. Measured: LifecycleSpec "a stopping entry under load" fails before with a refused connection; with the listener alone kept open it failed with a request that got no answer. It passes, three more times in a row.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -58,7 +58,8 @@
     private val stageDemands = StageDemands()
     private val recorder = CallRecorder(events, metrics)
     private val client = EndpointClient(pool, selector, protocol, scope)
-    private val listener = CallerListener(group, scope, pipeline(), protocol, views, events, metrics)
+    private val pipeline = createPipeline()
+    private val listener = CallerListener(group, scope, pipeline, protocol, views, events, metrics)
     private val operations = OperationsServer(settings, ::isReady, metrics::scrape, peerState)
 
     @Volatile
@@ -66,7 +67,7 @@
 
     private fun isReady() = !isStopping && views.current.isComplete
 
-    private fun pipeline(): CallPipeline {
+    private fun createPipeline(): CallPipeline {
         val plain = PlainForwarder(client, selector, retryBudgets, protocol, recorder, settings.forwarding)
         val reservations = EngineReservations(client, selector, protocol, metrics)
         val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
@@ -117,14 +118,30 @@
         return drained != null
     }
 
+    /**
+     * Serves what callers still send until the model requests in progress have ended: the platform may go on using an entry
+     * that is not ready. Then stops accepting once no connection waits to be accepted.
+     */
     private suspend fun awaitIdle() {
+        pipeline.acceptsModelRequests = false
         listener.closeIdle()
-        while (listener.busyConnections > 0) {
+        while (pipeline.runningModelRequests > 0) delay(DRAIN_POLL_INTERVAL_MS)
+        withTimeoutOrNull(MAX_QUIET_WAIT_MS) { awaitQuietListener() }
+        listener.stopAccepting()
+        while (listener.connectionsInUse > 0) {
             delay(DRAIN_POLL_INTERVAL_MS)
             listener.closeIdle()
         }
     }
 
+    /** Waits for a moment without new connections, because those in the queue of the listener are reset when it closes. */
+    private suspend fun awaitQuietListener() {
+        do {
+            val accepted = listener.acceptedConnections
+            delay(DRAIN_POLL_INTERVAL_MS)
+        } while (listener.acceptedConnections != accepted)
+    }
+
     /** Stops immediately, without waiting for requests in progress. */
     public fun stop() {
         operations.stop()
@@ -134,5 +151,8 @@
     private companion object {
         const val PRUNE_INTERVAL_MS = 500L
         const val DRAIN_POLL_INTERVAL_MS = 20L
+
+        /** Under constant load there is no quiet moment, and the process must stop all the same. */
+        const val MAX_QUIET_WAIT_MS = 1_000L
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
@@ -42,12 +42,18 @@
     private var incoming: IncomingCall? = null
     private var activeJob: Job? = null
     private var hasRefused = false
+    private var hasReceivedRequest = false
+    private val openedAt = timeSource.markNow()
     private var lastActivity: TimeMark = timeSource.markNow()
     private var writableSignal: CompletableDeferred<Unit>? = null
 
     /** True while a request is being received, queued or processed. */
     val isBusy: Boolean get() = activeJob != null || queued.isNotEmpty() || incoming != null
 
+    /** True if the connection has a request, or was opened so recently that its first request may be on its way. */
+    val isInUse: Boolean
+        get() = isBusy || (!hasReceivedRequest && openedAt.elapsedNow().inWholeMilliseconds < FIRST_REQUEST_GRACE_MS)
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -77,9 +83,9 @@
         if (!isBusy && inactiveMs > limits.idleTimeoutMs) context.close()
     }
 
-    /** Closes the connection unless it is [isBusy]. */
+    /** Closes the connection unless it is [isInUse]. */
     fun closeIfIdle() {
-        if (!isBusy) context.close()
+        if (!isInUse) context.close()
     }
 
     fun close() {
@@ -87,6 +93,7 @@
     }
 
     private fun receiveHead(request: HttpRequest) {
+        hasReceivedRequest = true
         lastActivity = timeSource.markNow()
         val problem = RequestValidator.check(request, limits.maxBodyBytes)
         if (problem != null) return refuse(problem, request.decoderResult().cause()?.message ?: "invalid request head")
@@ -190,6 +197,9 @@
     }
 
     private companion object {
+        /** Callers send a request right after they have connected; covers the network and a busy event loop. */
+        const val FIRST_REQUEST_GRACE_MS = 500L
+
         /** Maximum number of pipelined requests that are queued; reading pauses beyond it. */
         const val MAX_PIPELINED_REQUESTS = 8
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
@@ -37,8 +37,12 @@
     @Volatile
     private var isStopping = false
 
-    /** Number of connections with a request in progress. Must be read on the event loop. */
-    val busyConnections: Int get() = connections.count { it.isBusy }
+    /** Number of connections accepted so far. Must be read on the event loop. */
+    var acceptedConnections = 0L
+        private set
+
+    /** Number of connections with a request in progress or on its way. Must be read on the event loop. */
+    val connectionsInUse: Int get() = connections.count { it.isInUse }
 
     fun start(address: InetSocketAddress) {
         val bootstrap =
@@ -73,14 +77,19 @@
         isStopping = true
     }
 
-    /** Stops accepting connections and closes idle ones. Must be called on the event loop. */
+    /** Closes idle connections. Must be called on the event loop. */
     fun closeIdle() {
-        server?.close()
         connections.toList().forEach { it.closeIfIdle() }
     }
 
+    /** Stops accepting connections. Those that wait to be accepted are reset, so there should be none left. */
+    fun stopAccepting() {
+        server?.close()
+    }
+
     override fun onOpened(connection: CallerConnection) {
         connections += connection
+        acceptedConnections++
         metrics.setCallerConnections(connections.size)
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -21,6 +21,13 @@
     private val recorder: CallRecorder,
     private val random: Random = Random.Default,
 ) {
+    /** False once new model requests could no longer be completed before this process stops. Confined to the event loop. */
+    var acceptsModelRequests = true
+
+    /** Model requests in progress. Confined to the event loop. */
+    var runningModelRequests = 0
+        private set
+
     suspend fun serve(
         call: CallRequest,
         reply: CallerReply,
@@ -48,6 +55,7 @@
         val route = table.find(record.call.host, record.call.target) ?: return refuse(record, reply, LocalResponse.NO_ROUTE)
         record.route = route
         val service = table.service(pickTarget(route)) ?: return refuse(record, reply, LocalResponse.NO_ENDPOINT)
+        if (service.engine != null && !acceptsModelRequests) return refuse(record, reply, LocalResponse.ENTRY_STOPPING)
         return ForwardingJob(record, route, service, reply, protocol, recorder)
     }
 
@@ -71,7 +79,13 @@
         // Evaluated for each attempt, so that an endpoint that started to drain meanwhile gets no retry.
         val candidates = { views.current.serving(job.service.name) }
         val engine = job.service.engine
-        if (engine == null) plain.forward(job, candidates) else stream.forward(job, engine, candidates)
+        if (engine == null) return plain.forward(job, candidates)
+        runningModelRequests++
+        try {
+            stream.forward(job, engine, candidates)
+        } finally {
+            runningModelRequests--
+        }
     }
 
     private fun expire(job: ForwardingJob) {
