Do not complete a stream whose connection ended within an event

Cause: a response without length or chunks ends with its connection. A stream of that kind that ended within an event, as a crashing engine leaves it, was passed on with its last part and ended as complete. Change: the end of a response says whether a length or chunks marked it; an unmarked end within an event counts as broken, so the run is resumed where the route allows it, and the caller's response is aborted otherwise.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BodyReader.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BodyReader.kt
@@ -24,7 +24,7 @@
             when (val part = next()) {
                 is ResponsePart.Data -> body.write(part.bytes)
                 is ResponsePart.Broken -> return AttemptFailure.NoResponse(part.detail).left()
-                ResponsePart.End -> return body.toByteArray().right()
+                is ResponsePart.End -> return body.toByteArray().right()
             }
             if (body.size() > maxBytes) return AttemptFailure.NoResponse("response exceeds $maxBytes bytes").left()
         }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -44,11 +44,17 @@
                     if (splitter.partialEventBytes > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
                 }
                 is ResponsePart.Broken -> return End.BROKEN
-                ResponsePart.End -> return complete(splitter)
+                is ResponsePart.End -> return if (isCutOff(part, splitter)) End.BROKEN else complete(splitter)
             }
         }
     }
 
+    /** An endpoint that crashes closes its connection, often within an event. */
+    private fun isCutOff(
+        part: ResponsePart.End,
+        splitter: EventSplitter,
+    ) = !part.isDelimited && splitter.hasPartialEvent
+
     private suspend fun complete(splitter: EventSplitter): End {
         if (splitter.hasPartialEvent) job.reply.write(splitter.takePartialEvent())
         job.reply.finish()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -40,6 +40,9 @@
     private var isSkippingResponse = false
     private var isReusable = true
 
+    /** True if a length or chunks mark the end of the present response. */
+    private var isDelimited = false
+
     /** True once a response has arrived, so that a later one may be a copy of it. */
     private var hasCarriedResponse = false
     private var idleSince = timeSource.markNow()
@@ -109,6 +112,7 @@
         hasCarriedResponse = true
         if (!isReusableAfter(response)) isReusable = false
         if (isSkippingResponse) return
+        isDelimited = hasLength(response)
         readLimit.onProgress()
         response.headers().get(KEEP_ALIVE)?.let(::setKeepAlive)
         pendingResponse.begin(ResponseHead(response.status().code(), response.headers()))
@@ -149,7 +153,7 @@
         }
         if (content !is LastHttpContent) return
         pending = null
-        pendingResponse.end()
+        pendingResponse.end(isDelimited)
         idleSince = timeSource.markNow()
         if (isReusable) onReusable(this) else context.close()
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
@@ -51,8 +51,8 @@
         if (!isPaused && bufferedBytes > PAUSE_ABOVE_BYTES) setPaused(true)
     }
 
-    fun end() {
-        parts.trySend(ResponsePart.End)
+    fun end(isDelimited: Boolean) {
+        parts.trySend(ResponsePart.End(isDelimited))
     }
 
     fun fail(detail: String) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/ResponsePart.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/ResponsePart.kt
@@ -7,7 +7,10 @@
     ) : ResponsePart
 
     /** The body is complete. */
-    data object End : ResponsePart
+    class End(
+        /** False if only the end of the connection marked the end, which a crashed endpoint may have closed too soon. */
+        val isDelimited: Boolean,
+    ) : ResponsePart
 
     /** The body was truncated or is malformed. */
     class Broken(
