Move prefill requests out of the stream forwarder

PrefillRunner takes the prefill request, with the same decisions and settings; no behaviour changes.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -4,7 +4,6 @@
 import arrow.core.getOrElse
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.AttemptTerms
-import io.knapweedferry.routing.call.KvSourceRef
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
@@ -30,6 +29,8 @@
     private val recorder: CallRecorder,
     private val settings: ForwardingSettings,
 ) {
+    private val prefill = PrefillRunner(client, selector, retryBudgets, protocol, recorder, settings)
+
     suspend fun forward(
         job: ForwardingJob,
         engine: EngineProfile,
@@ -93,7 +94,7 @@
             val admittedAtMs = job.call.elapsedMs
             val choice = admission.choice
             tried += choice.endpoint.id
-            val kvSource = if (shouldPrefill()) runPrefill(choice.endpoint) else null
+            val kvSource = if (shouldPrefill()) prefill.run(job, engine, candidates(), choice.endpoint) else null
             val terms =
                 job
                     .terms(
@@ -141,32 +142,6 @@
         private fun connectFailed(failure: AttemptFailure): Outcome =
             if (failure is AttemptFailure.NotSent) Outcome.NotSent else Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST)
 
-        /** Sends the prompt to a prefill engine; if this returns null, the decode engine processes the prompt itself. */
-        private suspend fun runPrefill(decodeEngine: RoutedEndpoint): KvSourceRef? {
-            // A failed prefill counts against the fleet-wide retry budget.
-            if (retryBudget.available() == 0) return null
-            val prefill = selector.selectPrefill(candidates(), job.call.traits, engine, decodeEngine) ?: return null
-            val terms = job.terms(prefill.endpoint).copy(isPrefill = true)
-            val timeoutMs =
-                minOf(
-                    job.remainingMs,
-                    (
-                        (
-                            estimate.prefillMs(
-                                EndpointStage.PREFILL,
-                            ) + RunTimeEstimate.FIRST_TOKEN_OVERHEAD_MS
-                        ) * PREFILL_TIMEOUT_FACTOR
-                    ).toLong(),
-                )
-            val response = withTimeoutOrNull(timeoutMs) { client.fetch(record, prefill, terms, options(prefill, false)) }
-            val handle = response?.getOrNull()?.takeIf { it.status == STATUS_OK }?.let { protocol.readKvHandle(it.body) }
-            if (handle == null) {
-                retryBudget.tryRetry()
-                recorder.recordRetry(record, "prefill_failed")
-            }
-            return handle?.let { KvSourceRef(prefill.endpoint.address, it) }
-        }
-
         private suspend fun receive(
             attempt: Attempt,
             terms: AttemptTerms,
@@ -297,8 +272,5 @@
 
         /** Limits how often another engine is asked to take over, whatever the route says. */
         const val MIN_RESPONSE_TIMEOUT_MS = 100L
-
-        /** A prefill that takes this many times longer than on an idle engine is queued behind others; the decode engine takes over. */
-        const val PREFILL_TIMEOUT_FACTOR = 8.0
     }
 }
