Log and count runs whose connection was closed before their end

The incident of crashing prompts cannot be told from accidental crashes by the present log: no line names the prompt parts of a request, or says whether its run had begun when the engine closed the connection. A malformed response is told from a closed connection. No decision changes.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -1,5 +1,7 @@
 package io.knapweedferry.routing.call
 
+import io.knapweedferry.api.PromptPartId
+
 /** Properties of a request that its headers declare. */
 public data class CallTraits(
     /** Chosen by the caller, with a new id for each of its retries. */
@@ -14,6 +16,8 @@
     val expectedOutputTokens: Int?,
     /** Id of the last event that the caller received of an interrupted stream. */
     val lastEventId: String?,
+    /** Parts of the prompt in their order, without the last one, which belongs to this request alone. */
+    val sharedPromptParts: List<PromptPartId> = emptyList(),
 ) {
     /** Estimated output length: the caller's estimate, or the maximum if there is none. */
     val estimatedOutputTokens: Int get() = minOf(expectedOutputTokens ?: maxOutputTokens, maxOutputTokens)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecorder.kt
@@ -68,6 +68,25 @@
                 ?.hostString,
     )
 
+    /** Records that the connection of a run was closed by its engine or the network after [deliveredEvents] events. */
+    fun recordBrokenRun(
+        record: CallRecord,
+        engine: RoutedEndpoint,
+        deliveredEvents: Int,
+    ) {
+        metrics.countBrokenRun(hasBegun = deliveredEvents > 0)
+        events.write(
+            LogEvent.RUN_BROKEN,
+            "request" to record.call.traits.requestId,
+            "endpoint" to engine.id.value,
+            "endpoint_started_at_ms" to engine.startedAtMs,
+            "events" to deliveredEvents,
+            "prompt_parts" to
+                record.call.traits.sharedPromptParts
+                    .joinToString(" ") { it.value },
+        )
+    }
+
     private fun write(
         event: LogEvent,
         record: CallRecord,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -28,12 +28,17 @@
     var lastEventId = job.call.traits.lastEventId
         private set
 
+    /** Number of events with data that the present attempt has delivered. */
+    var attemptEvents = 0
+        private set
+
     /** Time since arrival of the last event with data of the present attempt, or of its start. */
     private var lastProgressMs = 0L
 
     suspend fun relay(attempt: Attempt): End {
         val splitter = EventSplitter()
         var receivedBytes = 0
+        attemptEvents = 0
         lastProgressMs = job.call.elapsedMs
         while (true) {
             val part = nextPart(attempt) ?: return End.PAUSED
@@ -79,7 +84,9 @@
         job.record.recordWrite()
         job.reply.write(EventSplitter.join(events))
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
-        if (events.any { it.hasData }) lastProgressMs = job.call.elapsedMs
+        val dataEvents = events.count { it.hasData }
+        if (dataEvents > 0) lastProgressMs = job.call.elapsedMs
+        attemptEvents += dataEvents
     }
 
     private companion object {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/RunTimeEstimate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/RunTimeEstimate.kt
@@ -2,6 +2,7 @@
 
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.model.RoutedEndpoint
 
 /** Expected run times of one model request at an engine, and the longest useful wait for admission. */
 internal class RunTimeEstimate(
@@ -30,6 +31,21 @@
             return usefulMs.toLong() - REFUSAL_MARGIN_MS
         }
 
+    /** Options of a run at [engine], whose prompt has been prefilled by another engine if [isPrefilled]. */
+    fun runOptions(
+        engine: RoutedEndpoint,
+        isPrefilled: Boolean,
+        settings: ForwardingSettings,
+    ): AttemptOptions {
+        val ownPrefillMs = if (isPrefilled) 0.0 else prefillMs(engine.stage ?: EndpointStage.DECODE)
+        return AttemptOptions(
+            kvTokens = job.call.traits.kvTokens,
+            pendingPrefillTokens = if (isPrefilled) 0 else job.call.traits.promptTokens,
+            expectedFirstByteMs = FIRST_TOKEN_OVERHEAD_MS + ownPrefillMs,
+            maxIdleMs = if (job.route.isResumable) Long.MAX_VALUE else settings.nonRepeatableMaxIdleMs,
+        )
+    }
+
     companion object {
         /** Request set-up and first decode step of an engine. */
         const val FIRST_TOKEN_OVERHEAD_MS = 40.0
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -100,7 +100,7 @@
                     .terms(
                         choice.endpoint,
                     ).copy(kvSource = kvSource, reservation = admission.reservation, lastEventId = relay.lastEventId)
-            val opened = client.open(record, choice, terms, options(choice, kvSource != null))
+            val opened = client.open(record, choice, terms, estimate.runOptions(choice.endpoint, kvSource != null, settings))
             val outcome = opened.fold({ connectFailed(it) }, { attempt -> receive(choice, attempt, terms) })
             if (outcome == Outcome.Completed) admissions.recordCompletedRun(job, engine, job.call.elapsedMs - admittedAtMs)
             return outcome
@@ -147,7 +147,15 @@
             terms: AttemptTerms,
         ): Outcome {
             val head = awaitHead(attempt) ?: return Outcome.Replaced("no_answer_in_time")
-            return head.fold({ Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST) }, { onResponse(attempt, terms, it) })
+            return head.fold({ onNoResponse(attempt, it) }, { onResponse(attempt, terms, it) })
+        }
+
+        private fun onNoResponse(
+            attempt: Attempt,
+            failure: AttemptFailure,
+        ): Outcome {
+            if (failure is AttemptFailure.NoResponse && failure.isDisconnect) recorder.recordBrokenRun(record, attempt.endpoint, 0)
+            return Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST)
         }
 
         /** Null once another engine has taken over. */
@@ -208,11 +216,16 @@
         private suspend fun relay(attempt: Attempt): Outcome =
             when (relay.relay(attempt)) {
                 EventRelay.End.COMPLETE -> Outcome.Completed.also { recorder.recordDelivered(record, STATUS_OK) }
-                EventRelay.End.BROKEN -> Outcome.Retryable("stream_broken", LocalResponse.ANSWER_LOST)
+                EventRelay.End.BROKEN -> onBrokenStream(attempt)
                 EventRelay.End.TOO_LONG -> Outcome.Retryable("stream_too_long", LocalResponse.ANSWER_LOST)
                 EventRelay.End.PAUSED -> Outcome.Replaced("pause_too_long")
             }
 
+        private fun onBrokenStream(attempt: Attempt): Outcome {
+            recorder.recordBrokenRun(record, attempt.endpoint, relay.attemptEvents)
+            return Outcome.Retryable("stream_broken", LocalResponse.ANSWER_LOST)
+        }
+
         /** True if another engine can take over the run. */
         private fun canFailOver(): Boolean =
             job.route.isResumable &&
@@ -235,20 +248,6 @@
             if (response != null) return job.deliver(response)
             job.refuse(if (record.mayHaveRun) LocalResponse.ANSWER_LOST else refusal)
         }
-
-        private fun options(
-            choice: EndpointChoice,
-            isPrefilled: Boolean,
-        ): AttemptOptions {
-            val pendingTokens = if (isPrefilled) 0 else job.call.traits.promptTokens
-            val stage = choice.endpoint.stage ?: EndpointStage.DECODE
-            return AttemptOptions(
-                kvTokens = job.call.traits.kvTokens,
-                pendingPrefillTokens = pendingTokens,
-                expectedFirstByteMs = RunTimeEstimate.FIRST_TOKEN_OVERHEAD_MS + (if (isPrefilled) 0.0 else estimate.prefillMs(stage)),
-                maxIdleMs = if (job.route.isResumable) Long.MAX_VALUE else settings.nonRepeatableMaxIdleMs,
-            )
-        }
     }
 
     private sealed interface Outcome {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/AttemptFailure.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/AttemptFailure.kt
@@ -12,5 +12,7 @@
     /** The request was sent, but no complete response arrived; it may have run. */
     data class NoResponse(
         override val detail: String,
+        /** True if the endpoint or the network closed the connection. */
+        val isDisconnect: Boolean = false,
     ) : AttemptFailure
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -69,7 +70,9 @@
         decoder.expectsNoBody = request.method.name() == "HEAD"
         val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.target, Unpooled.wrappedBuffer(request.body))
         message.headers().add(request.headers)
-        context.writeAndFlush(message).addListener { if (!it.isSuccess) failPending("write failed: ${it.cause()?.message}") }
+        context.writeAndFlush(message).addListener {
+            if (!it.isSuccess) failPending("write failed: ${it.cause()?.message}", isDisconnect = true)
+        }
         return pendingResponse
     }
 
@@ -96,7 +99,7 @@
     }
 
     private fun receive(message: HttpObject) {
-        if (message.decoderResult().isFailure) return failConnection("malformed response: ${message.decoderResult().cause()?.message}")
+        if (message.decoderResult().isFailure) return failMalformed(message.decoderResult().cause())
         if (message is HttpResponse) receiveHead(message)
         if (message is HttpContent) receiveContent(message)
     }
@@ -158,16 +161,25 @@
         if (isReusable) onReusable(this) else context.close()
     }
 
-    private fun failConnection(detail: String) {
+    private fun failMalformed(cause: Throwable?) =
+        failConnection("malformed response: ${cause?.message}", isDisconnect = cause is PrematureChannelClosureException)
+
+    private fun failConnection(
+        detail: String,
+        isDisconnect: Boolean = false,
+    ) {
         isReusable = false
-        failPending(detail)
+        failPending(detail, isDisconnect)
         context.close()
     }
 
-    private fun failPending(detail: String) {
+    private fun failPending(
+        detail: String,
+        isDisconnect: Boolean,
+    ) {
         val pendingResponse = pending ?: return
         pending = null
-        pendingResponse.fail(detail)
+        pendingResponse.fail(detail, isDisconnect)
     }
 
     // Runs before channelInactive, so that a response without a length that ends in a reset is not treated as complete.
@@ -175,10 +187,10 @@
     override fun exceptionCaught(
         ctx: ChannelHandlerContext,
         cause: Throwable,
-    ): Unit = failConnection("connection failed: ${cause.message}")
+    ): Unit = failConnection("connection failed: ${cause.message}", isDisconnect = cause !is ResponseLimitException)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        failPending("connection closed")
+        failPending("connection closed", isDisconnect = true)
         onClosed(this)
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
@@ -55,9 +55,13 @@
         parts.trySend(ResponsePart.End(isDelimited))
     }
 
-    fun fail(detail: String) {
-        head.complete(AttemptFailure.NoResponse(detail).left())
-        parts.trySend(ResponsePart.Broken(detail))
+    /** [isDisconnect] if the connection was closed before the response was complete. */
+    fun fail(
+        detail: String,
+        isDisconnect: Boolean,
+    ) {
+        head.complete(AttemptFailure.NoResponse(detail, isDisconnect).left())
+        parts.trySend(ResponsePart.Broken(detail, isDisconnect))
     }
 
     private fun setPaused(value: Boolean) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/ResponsePart.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/ResponsePart.kt
@@ -15,5 +15,7 @@
     /** The body was truncated or is malformed. */
     class Broken(
         val detail: String,
+        /** True if the endpoint or the network closed the connection. */
+        val isDisconnect: Boolean = false,
     ) : ResponsePart
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -268,6 +268,12 @@
         "engine refused a request after granting a reservation for it",
         "compare the listed stage with the stage that the engine reports",
     ),
+    RUN_BROKEN(
+        625,
+        EventLevel.WARN,
+        "connection of a run was closed before its end",
+        "check the engine; look for prompt parts that are the same in several lines without events",
+    ),
 
     // 7xx: platform
     LOG_DOWN(
