Quarantine prompts that have everything in common with three crashes of engines

Callers saw their streams cut again and again: requests with one prompt part ended every engine that began to answer them, and each request, retry and repeat was sent on like the first one.

Cause: nothing was remembered of a request that ended with its engine, and each entry sees a part of the crashes only.

The suspects of a crash are the parts of requests that the engine had not begun to answer. What the suspects of three crashes have in common is the cause, or contains it; a part that an engine answers is cleared. This works because sound requests clear the parts that they share with the crashing ones within one answer.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.routing
 
 import io.knapweedferry.routing.call.UpstreamProtocol
+import io.knapweedferry.routing.fleet.CrashReportExchange
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
 import io.knapweedferry.routing.fleet.StageBalancer
@@ -15,6 +16,7 @@
 import io.knapweedferry.routing.pipeline.EndpointClient
 import io.knapweedferry.routing.pipeline.EngineReservations
 import io.knapweedferry.routing.pipeline.PlainForwarder
+import io.knapweedferry.routing.pipeline.PromptGuard
 import io.knapweedferry.routing.pipeline.StreamForwarder
 import io.knapweedferry.routing.upstream.EndpointPool
 import io.knapweedferry.telemetry.EventLog
@@ -58,6 +60,7 @@
     private val stageDemands = StageDemands()
     private val recorder = CallRecorder(events, metrics)
     private val client = EndpointClient(pool, selector, protocol, scope)
+    private val promptGuard = PromptGuard(recorder, events)
     private val pipeline = createPipeline()
     private val listener = CallerListener(group, scope, pipeline, protocol, views, events, metrics)
     private val operations = OperationsServer(settings, ::isReady, metrics::scrape, peerState)
@@ -71,7 +74,7 @@
         val plain = PlainForwarder(client, selector, retryBudgets, protocol, recorder, settings.forwarding)
         val reservations = EngineReservations(client, selector, protocol, metrics)
         val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
-        val stream = StreamForwarder(client, admissions, selector, retryBudgets, protocol, recorder, settings.forwarding)
+        val stream = StreamForwarder(client, admissions, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
         return CallPipeline(views, plain, stream, retryBudgets, protocol, recorder)
     }
 
@@ -88,6 +91,12 @@
         scope.launch { repeatGuarded(StageBalancer.CHECK_INTERVAL_MS) { balancer.check() } }
     }
 
+    /** Shares crashes of engines with the other instances; called before [start]. */
+    public fun shareCrashReports(exchange: CrashReportExchange) {
+        promptGuard.publish = exchange::publish
+        exchange.subscribe { report -> scope.launch { promptGuard.record(report) } }
+    }
+
     /** Runs [action] periodically until cancelled. An error is logged and ends one round only. */
     private suspend fun repeatGuarded(
         intervalMs: Long,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -9,6 +9,8 @@
 internal class EventRelay(
     private val job: ForwardingJob,
     private val settings: ForwardingSettings,
+    /** Called when the engine of the present attempt has shown that it can answer the request. */
+    private val onBegun: () -> Unit,
     /** Called when an attempt makes no progress; true if another engine has taken over the run. */
     private val failOver: suspend () -> Boolean,
 ) {
@@ -17,6 +19,9 @@
         COMPLETE,
         BROKEN,
 
+        /** The response violates the protocol. */
+        MALFORMED,
+
         /** No event arrived within the pause timeout, and another engine has taken over. */
         PAUSED,
 
@@ -30,7 +35,10 @@
 
     /** Number of events with data that the present attempt has delivered. */
     var attemptEvents = 0
-        private set
+        private set(value) {
+            if (field < PromptGuard.EVENTS_OF_A_BEGUN_RUN && value >= PromptGuard.EVENTS_OF_A_BEGUN_RUN) onBegun()
+            field = value
+        }
 
     /** Time since arrival of the last event with data of the present attempt, or of its start. */
     private var lastProgressMs = 0L
@@ -48,19 +56,20 @@
                     deliver(splitter.add(part.bytes))
                     if (splitter.partialEventBytes > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
                 }
-                is ResponsePart.Broken -> return End.BROKEN
+                is ResponsePart.Broken -> return if (part.isDisconnect) End.BROKEN else End.MALFORMED
                 is ResponsePart.End -> return if (isCutOff(part, splitter)) End.BROKEN else complete(splitter)
             }
         }
     }
 
-    /** An endpoint that crashes closes its connection, often within an event. */
+    /** An endpoint that crashes closes its connection, often within an event or before the first one. */
     private fun isCutOff(
         part: ResponsePart.End,
         splitter: EventSplitter,
-    ) = !part.isDelimited && splitter.hasPartialEvent
+    ) = !part.isDelimited && (splitter.hasPartialEvent || attemptEvents == 0)
 
     private suspend fun complete(splitter: EventSplitter): End {
+        if (attemptEvents in 1 until PromptGuard.EVENTS_OF_A_BEGUN_RUN) onBegun()
         if (splitter.hasPartialEvent) job.reply.write(splitter.takePartialEvent())
         job.reply.finish()
         return End.COMPLETE
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -16,7 +16,7 @@
     val service: ServiceProfile,
     val reply: CallerReply,
     private val protocol: UpstreamProtocol,
-    private val recorder: CallRecorder,
+    val recorder: CallRecorder,
 ) {
     val call: CallRequest get() = record.call
 
@@ -50,9 +50,12 @@
         recorder.recordDelivered(record, response.status)
     }
 
-    /** Responds with an error. If the request certainly did not run, the response says when to retry. */
-    fun refuse(response: LocalResponse) {
-        reply.refuse(response, if (response.promisesNotRun) retryAfterMs() else null)
+    /** Responds with an error. If the request certainly did not run, the response says when to retry: after [retryAfterMs]. */
+    fun refuse(
+        response: LocalResponse,
+        retryAfterMs: Long = usualRetryAfterMs(),
+    ) {
+        reply.refuse(response, if (response.promisesNotRun) retryAfterMs else null)
         recorder.recordRefused(record, response)
     }
 
@@ -60,7 +63,7 @@
      * Callers accept a delay of up to a third of their remaining time. Engines that were full for as long as a model request
      * could wait stay full for seconds, so its caller should retry as late as possible; a plain service is soon free again.
      */
-    private fun retryAfterMs(): Long {
+    private fun usualRetryAfterMs(): Long {
         val longestMs = remainingMs / RETRY_AFTER_DIVISOR
         if (service.engine != null) return longestMs.coerceAtLeast(MIN_RETRY_AFTER_MS)
         return min(route.targetLatencyMs / 2, longestMs).coerceAtLeast(MIN_RETRY_AFTER_MS)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
@@ -17,6 +17,11 @@
     NOT_READY(503, "not_ready", "repeat the request; this entry has no configuration yet"),
     NO_ENDPOINT(503, "no_endpoint", "repeat the request later; the service has no endpoint that takes work"),
     ENDPOINTS_FULL(503, "endpoints_full", "repeat the request later; it has not run"),
+    PROMPT_QUARANTINED(
+        503,
+        "prompt_quarantined",
+        "change the prompt; engines crashed on prompts with the same parts; this request has not run",
+    ),
     ENTRY_FULL(503, "entry_full", "repeat the request at another entry; it has not run"),
     ENTRY_STOPPING(503, "entry_stopping", "repeat the request at another entry; it has not run"),
     EXPIRED_UNSENT(503, "expired_unsent", "repeat the request with a longer deadline; it has not run"),
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PrefillRunner.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PrefillRunner.kt
@@ -15,7 +15,6 @@
     private val selector: EndpointSelector,
     private val retryBudgets: RetryBudgets,
     private val protocol: UpstreamProtocol,
-    private val recorder: CallRecorder,
     private val settings: ForwardingSettings,
 ) {
     /** Sends the prompt to a prefill engine; if this returns null, [decodeEngine] processes the prompt itself. */
@@ -36,7 +35,7 @@
         val handle = response?.getOrNull()?.takeIf { it.status == STATUS_OK }?.let { protocol.readKvHandle(it.body) }
         if (handle == null) {
             retryBudget.tryRetry()
-            recorder.recordRetry(job.record, "prefill_failed")
+            job.recorder.recordRetry(job.record, "prefill_failed")
         }
         return handle?.let { KvSourceRef(prefill.endpoint.address, it) }
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import io.knapweedferry.api.EndpointId
+import io.knapweedferry.policy.quarantine.QuarantineReason
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointChoice
@@ -26,10 +27,10 @@
     private val selector: EndpointSelector,
     private val retryBudgets: RetryBudgets,
     private val protocol: UpstreamProtocol,
-    private val recorder: CallRecorder,
+    private val guard: PromptGuard,
     private val settings: ForwardingSettings,
 ) {
-    private val prefill = PrefillRunner(client, selector, retryBudgets, protocol, recorder, settings)
+    private val prefill = PrefillRunner(client, selector, retryBudgets, protocol, settings)
 
     suspend fun forward(
         job: ForwardingJob,
@@ -43,14 +44,16 @@
         private val candidates: () -> List<RoutedEndpoint>,
     ) {
         private val record = job.record
+        private val recorder = job.recorder
         private val estimate = RunTimeEstimate(job)
         private val retryBudget = retryBudgets.of(job.service.name)
         private val tried = HashSet<EndpointId>()
-        private val relay = EventRelay(job, settings, ::reserveReplacement)
+        private val relay = EventRelay(job, settings, { guard.recordBegun(job) }, ::reserveReplacement)
 
         /** Reservation at the engine that takes over from an attempt without progress. */
         private var replacement: Admission? = null
         private var refusal = LocalResponse.NO_ENDPOINT
+        private var quarantine: QuarantineReason? = null
         private var errorResponse: BufferedResponse? = null
         private var connectFailures = 0
 
@@ -81,8 +84,9 @@
             return false
         }
 
-        /** Null if no engine granted a reservation in time. */
+        /** Null if no engine granted a reservation in time, or if the prompt must not be sent to an engine. */
         private suspend fun attempt(): Outcome? {
+            if (isQuarantined()) return null.also { replacement?.let(admissions::release) }
             val admission = replacement ?: admit(isResumed = job.reply.hasStarted, estimate.maxQueueWaitMs)
             replacement = null
             if (admission == null) {
@@ -94,18 +98,25 @@
             val admittedAtMs = job.call.elapsedMs
             val choice = admission.choice
             tried += choice.endpoint.id
-            val kvSource = if (shouldPrefill()) prefill.run(job, engine, candidates(), choice.endpoint) else null
+            val kvSource = if (shouldPrefill() && !isQuarantined()) prefill.run(job, engine, candidates(), choice.endpoint) else null
+            if (isQuarantined()) return null.also { admissions.release(admission) }
             val terms =
                 job
                     .terms(
                         choice.endpoint,
                     ).copy(kvSource = kvSource, reservation = admission.reservation, lastEventId = relay.lastEventId)
             val opened = client.open(record, choice, terms, estimate.runOptions(choice.endpoint, kvSource != null, settings))
-            val outcome = opened.fold({ connectFailed(it) }, { attempt -> receive(choice, attempt, terms) })
+            val outcome = opened.fold({ onFailure(choice.endpoint, it) }, { attempt -> receive(choice, attempt, terms) })
             if (outcome == Outcome.Completed) admissions.recordCompletedRun(job, engine, job.call.elapsedMs - admittedAtMs)
             return outcome
         }
 
+        /** Asked again after each wait, because engines may have crashed meanwhile. */
+        private fun isQuarantined(): Boolean {
+            quarantine = guard.findQuarantine(job)
+            return quarantine != null
+        }
+
         private suspend fun admit(
             isResumed: Boolean,
             waitMs: Long,
@@ -139,22 +150,20 @@
                 admissions.onCapacityReleased(job.service.name, choice.endpoint.id)
             }
 
-        private fun connectFailed(failure: AttemptFailure): Outcome =
-            if (failure is AttemptFailure.NotSent) Outcome.NotSent else Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST)
-
         private suspend fun receive(
             attempt: Attempt,
             terms: AttemptTerms,
         ): Outcome {
             val head = awaitHead(attempt) ?: return Outcome.Replaced("no_answer_in_time")
-            return head.fold({ onNoResponse(attempt, it) }, { onResponse(attempt, terms, it) })
+            return head.fold({ onFailure(attempt.endpoint, it) }, { onResponse(attempt, terms, it) })
         }
 
-        private fun onNoResponse(
-            attempt: Attempt,
+        private fun onFailure(
+            engine: RoutedEndpoint,
             failure: AttemptFailure,
         ): Outcome {
-            if (failure is AttemptFailure.NoResponse && failure.isDisconnect) recorder.recordBrokenRun(record, attempt.endpoint, 0)
+            if (failure !is AttemptFailure.NoResponse) return Outcome.NotSent
+            if (failure.isDisconnect) guard.recordBroken(job, engine, 0)
             return Outcome.Retryable("answer_lost", LocalResponse.ANSWER_LOST)
         }
 
@@ -216,16 +225,15 @@
         private suspend fun relay(attempt: Attempt): Outcome =
             when (relay.relay(attempt)) {
                 EventRelay.End.COMPLETE -> Outcome.Completed.also { recorder.recordDelivered(record, STATUS_OK) }
-                EventRelay.End.BROKEN -> onBrokenStream(attempt)
+                EventRelay.End.BROKEN -> {
+                    guard.recordBroken(job, attempt.endpoint, relay.attemptEvents)
+                    Outcome.Retryable("stream_broken", LocalResponse.ANSWER_LOST)
+                }
+                EventRelay.End.MALFORMED -> Outcome.Retryable("stream_broken", LocalResponse.ANSWER_LOST)
                 EventRelay.End.TOO_LONG -> Outcome.Retryable("stream_too_long", LocalResponse.ANSWER_LOST)
                 EventRelay.End.PAUSED -> Outcome.Replaced("pause_too_long")
             }
 
-        private fun onBrokenStream(attempt: Attempt): Outcome {
-            recorder.recordBrokenRun(record, attempt.endpoint, relay.attemptEvents)
-            return Outcome.Retryable("stream_broken", LocalResponse.ANSWER_LOST)
-        }
-
         /** True if another engine can take over the run. */
         private fun canFailOver(): Boolean =
             job.route.isResumable &&
@@ -246,7 +254,12 @@
             }
             val response = errorResponse
             if (response != null) return job.deliver(response)
-            job.refuse(if (record.mayHaveRun) LocalResponse.ANSWER_LOST else refusal)
+            val reason = quarantine
+            when {
+                record.mayHaveRun -> job.refuse(LocalResponse.ANSWER_LOST)
+                reason != null -> job.refuse(LocalResponse.PROMPT_QUARANTINED, reason.remainingMs)
+                else -> job.refuse(refusal)
+            }
         }
     }
 
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -274,6 +274,12 @@
         "connection of a run was closed before its end",
         "check the engine; look for prompt parts that are the same in several lines without events",
     ),
+    PROMPT_QUARANTINED(
+        626,
+        EventLevel.WARN,
+        "requests whose prompts contain certain parts are rejected because such requests crashed engines",
+        "find out who sends prompts with these parts, and why engines crash on them",
+    ),
 
     // 7xx: platform
     LOG_DOWN(
