Limit the memory of all buffered responses together

Operators of similar systems reported that a faulty worker that answers without end took the memory of its caller, and with it the requests of other clients. Here each response was bounded (1 MiB for plain services), but not their sum: 120 requests at a time to an endpoint whose responses grow together exceed the 96 MB heap of an entry.

Each response may hold a fourth of what is free of 16 MiB, so many large ones get less each and small ones still find room.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BodyReader.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BodyReader.kt
@@ -15,14 +15,19 @@
     /** Responses to the entry's own requests and error responses of engines have a few hundred bytes. */
     const val MAX_SHORT_BODY_BYTES = 64 * 1024
 
+    /** Reads at most [maxBytes], and no more than [mayHold] permits; it is asked for each part. */
     suspend fun read(
         maxBytes: Int,
         next: suspend () -> ResponsePart,
+        mayHold: (Int) -> Boolean = { true },
     ): Either<AttemptFailure, ByteArray> {
         val body = ByteArrayOutputStream()
         while (true) {
             when (val part = next()) {
-                is ResponsePart.Data -> body.write(part.bytes)
+                is ResponsePart.Data -> {
+                    if (!mayHold(part.bytes.size)) return AttemptFailure.NoResponse("no memory for the response").left()
+                    body.write(part.bytes)
+                }
                 is ResponsePart.Broken -> return AttemptFailure.NoResponse(part.detail).left()
                 is ResponsePart.End -> return body.toByteArray().right()
             }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -15,6 +15,7 @@
 import io.knapweedferry.routing.upstream.EndpointConnection
 import io.knapweedferry.routing.upstream.EndpointPool
 import io.knapweedferry.routing.upstream.OutboundRequest
+import io.knapweedferry.routing.upstream.ResponseMemory
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
@@ -31,6 +32,8 @@
     private val scope: CoroutineScope,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
+    private val responseMemory = ResponseMemory(MAX_RESPONSE_MEMORY_BYTES)
+
     /** Connects and sends the request. The caller must close the returned attempt. */
     suspend fun open(
         record: CallRecord,
@@ -71,13 +74,12 @@
         options: AttemptOptions,
     ): Either<AttemptFailure, BufferedResponse> =
         open(record, choice, terms, options).flatMap { attempt ->
-            attempt.use {
-                it.head().flatMap { head ->
-                    BodyReader.read(BodyReader.MAX_BODY_BYTES, it::next).map { body -> BufferedResponse(head.status, head.headers, body) }
-                }
-            }
+            attempt.use { it.head().flatMap { head -> readBody(it).map { body -> BufferedResponse(head.status, head.headers, body) } } }
         }
 
+    private suspend fun readBody(attempt: Attempt): Either<AttemptFailure, ByteArray> =
+        responseMemory.Share().use { BodyReader.read(BodyReader.MAX_BODY_BYTES, attempt::next, it::tryGrow) }
+
     /**
      * Sends a request that originates in the entry and returns the complete response. [isPermitted] is asked once there is a
      * connection, right before the request is written.
@@ -146,5 +148,8 @@
 
     private companion object {
         const val CONTROL_TIMEOUT_MS = 1_000L
+
+        /** A sixth of the heap; a response takes up to three times its size while it is read. */
+        const val MAX_RESPONSE_MEMORY_BYTES = 16L * 1024 * 1024
     }
 }
