Do not take the error of the next engine for a part or the end of a stream

Operators of similar systems reported error texts, or whole heads, in the middle of streams, or streams that ended as if they were complete, after an engine had broken off and the next one answered with an error. It could happen here: a signed 200 without events completed the stream, and text that is no event was relayed like one.

ResumedStreamSpec plays 16 errors of the second engine; 6 failed before (an empty body with length or chunks, JSON and text as a success, a head within the body, two heads), all pass now. A response that continues a stream must bring an event, and consist of events; the caller otherwise sees the connection end and can resume.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -40,12 +40,16 @@
             field = value
         }
 
+    /** True if an earlier attempt has delivered events, so that the present one continues the stream. */
+    private var isContinuation = false
+
     /** Time since arrival of the last event with data of the present attempt, or of its start. */
     private var lastProgressMs = 0L
 
     suspend fun relay(attempt: Attempt): End {
         val splitter = EventSplitter()
         var receivedBytes = 0
+        isContinuation = isContinuation || attemptEvents > 0
         attemptEvents = 0
         lastProgressMs = job.call.elapsedMs
         while (true) {
@@ -53,7 +57,9 @@
             when (part) {
                 is ResponsePart.Data -> {
                     receivedBytes += part.bytes.size
-                    deliver(splitter.add(part.bytes))
+                    val events = splitter.add(part.bytes)
+                    if (isContinuation && events.any { !it.isWellFormed }) return End.MALFORMED
+                    deliver(events)
                     if (splitter.partialEventBytes > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
                 }
                 is ResponsePart.Broken -> return if (part.isDisconnect) End.BROKEN else End.MALFORMED
@@ -62,15 +68,20 @@
         }
     }
 
-    /** An endpoint that crashes closes its connection, often within an event or before the first one. */
+    /**
+     * An endpoint that crashes closes its connection, often within an event or before the first one. A continuation without an
+     * event does not show that the stream was complete before.
+     */
     private fun isCutOff(
         part: ResponsePart.End,
         splitter: EventSplitter,
-    ) = !part.isDelimited && (splitter.hasPartialEvent || attemptEvents == 0)
+    ) = (isContinuation && attemptEvents == 0) || (!part.isDelimited && (splitter.hasPartialEvent || attemptEvents == 0))
 
     private suspend fun complete(splitter: EventSplitter): End {
         if (attemptEvents in 1 until PromptGuard.EVENTS_OF_A_BEGUN_RUN) onBegun()
-        if (splitter.hasPartialEvent) job.reply.write(splitter.takePartialEvent())
+        val rest = StreamEvent(splitter.takePartialEvent())
+        if (isContinuation && !rest.isWellFormed) return End.MALFORMED
+        if (rest.bytes.isNotEmpty()) job.reply.write(rest.bytes)
         job.reply.finish()
         return End.COMPLETE
     }
