Refuse requests that might outlast a stopping entry

Operators of similar systems reported that requests that came late in the grace period of a planned stop were passed on and cut off at its end. It could happen here: while a stream was running, plain requests were taken until the end.

Now a stopping entry passes a plain request on only if its deadline and the timeout of its route end before the process does; it refuses the others as not run, with Retry-After.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -34,6 +34,8 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.TimeUnit
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 /**
@@ -118,21 +120,22 @@
     /** Reports not ready, still serves new requests, and waits until all have completed; false if the drain timeout expired first. */
     public suspend fun drain(): Boolean {
         isStopping = true
+        val endsAt = TimeSource.Monotonic.markNow() + (settings.drainTimeoutMs - ANSWER_MARGIN_MS).milliseconds
         listener.beginStopping()
         val drained =
             withTimeoutOrNull(settings.drainTimeoutMs) {
                 delay(settings.deregistrationDelayMs)
-                withContext(loop) { awaitIdle() }
+                withContext(loop) { awaitIdle(endsAt) }
             }
         return drained != null
     }
 
     /**
      * Serves what callers still send until the model requests in progress have ended: the platform may go on using an entry
-     * that is not ready. Then stops accepting, and serves the connections that were accepted.
+     * that is not ready. Requests that might outlast this process are refused as not run. Then stops accepting, and serves the connections that were accepted.
      */
-    private suspend fun awaitIdle() {
-        pipeline.acceptsModelRequests = false
+    private suspend fun awaitIdle(endsAt: ComparableTimeMark) {
+        pipeline.endsAt = endsAt
         listener.closeIdle()
         while (pipeline.runningModelRequests > 0) delay(DRAIN_POLL_INTERVAL_MS)
         listener.stopAccepting()
@@ -151,5 +154,8 @@
     private companion object {
         const val PRUNE_INTERVAL_MS = 500L
         const val DRAIN_POLL_INTERVAL_MS = 20L
+
+        /** Time for the last answers to reach their callers. */
+        const val ANSWER_MARGIN_MS = 200L
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
 
 /** Handles one request: finds its route, applies its timeout, forwards it according to its kind and records the outcome. */
 internal class CallPipeline(
@@ -21,8 +22,11 @@
     private val recorder: CallRecorder,
     private val random: Random = Random.Default,
 ) {
-    /** False once new model requests could no longer be completed before this process stops. Confined to the event loop. */
-    var acceptsModelRequests = true
+    /**
+     * Time at which this process ends its requests at the latest; null while it is not stopping. New model requests are refused
+     * then, and others if they might not end before. Confined to the event loop.
+     */
+    var endsAt: ComparableTimeMark? = null
 
     /** Model requests in progress. Confined to the event loop. */
     var runningModelRequests = 0
@@ -45,6 +49,12 @@
         }
     }
 
+    /** False if the process might end before the request of [job] has been answered. */
+    private fun canComplete(job: ForwardingJob): Boolean {
+        val end = endsAt ?: return true
+        return job.service.engine == null && job.remainingMs < -end.elapsedNow().inWholeMilliseconds
+    }
+
     /** Null if the request was refused; the refusal has been sent then. */
     private fun route(
         record: CallRecord,
@@ -55,8 +65,8 @@
         val route = table.find(record.call.host, record.call.target) ?: return refuse(record, reply, LocalResponse.NO_ROUTE)
         record.route = route
         val service = table.service(pickTarget(route)) ?: return refuse(record, reply, LocalResponse.NO_ENDPOINT)
-        if (service.engine != null && !acceptsModelRequests) return refuse(record, reply, LocalResponse.ENTRY_STOPPING)
-        return ForwardingJob(record, route, service, reply, protocol, recorder)
+        val job = ForwardingJob(record, route, service, reply, protocol, recorder)
+        return if (canComplete(job)) job else refuse(record, reply, LocalResponse.ENTRY_STOPPING)
     }
 
     private fun refuse(
