Send nothing to endpoints that say they leave or want no requests

A worker that leaves says so in its answers (Server-Leaving), and one that turns a request away with 503 may say for how long it wants none (Retry-After). Both were ignored: callers waited for answers of workers that were known to refuse or to end.

The head of each response to a pending request is read, interim ones and those of reservations, prompts and orders too, unless another endpoint has taken over the address. The mark belongs to one incarnation. Candidates, reservations and sends ask it, also after the wait for admission and after a connection is established; a reservation granted before is not used then and lapses. If no endpoint of a service accepts, callers are refused at once as not run, with the time at which the first one returns.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -2,6 +2,7 @@
 
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.CrashReportExchange
+import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
 import io.knapweedferry.routing.fleet.StageBalancer
@@ -56,12 +57,13 @@
     private val exceptionHandler =
         CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
     private val scope = CoroutineScope(SupervisorJob() + loop + exceptionHandler)
-    private val pool = EndpointPool(group, protocol)
+    private val availability = EndpointAvailability(events)
+    private val pool = EndpointPool(group, protocol, availability)
     private val selector = EndpointSelector(settings.zone, events, TimeSource.Monotonic)
     private val retryBudgets = RetryBudgets(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
     private val stageDemands = StageDemands()
     private val recorder = CallRecorder(events, metrics)
-    private val client = EndpointClient(pool, selector, protocol, scope)
+    private val client = EndpointClient(pool, selector, protocol, availability, scope)
     private val promptGuard = PromptGuard(recorder, events)
     private val pipeline = createPipeline()
     private val listener = CallerListener(group, scope, pipeline, protocol, views, events, metrics)
@@ -77,7 +79,7 @@
         val reservations = EngineReservations(client, selector, protocol, metrics)
         val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
         val stream = StreamForwarder(client, admissions, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
-        return CallPipeline(views, plain, stream, retryBudgets, protocol, recorder)
+        return CallPipeline(views, plain, stream, retryBudgets, availability, protocol, recorder)
     }
 
     /** Starts the listeners for callers and operators. */
@@ -115,6 +117,7 @@
         val known = views.current.endpoints.keys
         pool.retain(known)
         selector.retain(known)
+        availability.retain(known)
     }
 
     /** Reports not ready, still serves new requests, and waits until all have completed; false if the drain timeout expired first. */
@@ -132,7 +135,8 @@
 
     /**
      * Serves what callers still send until the model requests in progress have ended: the platform may go on using an entry
-     * that is not ready. Requests that might outlast this process are refused as not run. Then stops accepting, and serves the connections that were accepted.
+     * that is not ready. Requests that might outlast this process are refused as not run. Then stops accepting, and serves the
+     * connections that were accepted.
      */
     private suspend fun awaitIdle(endsAt: ComparableTimeMark) {
         pipeline.endsAt = endsAt
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/UpstreamProtocol.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/UpstreamProtocol.kt
@@ -32,6 +32,12 @@
         headers: HttpHeaders,
     ): Boolean
 
+    /** What a response, also an interim one, says about its endpoint. */
+    public fun readNotice(
+        status: Int,
+        headers: HttpHeaders,
+    ): EndpointNotice
+
     /** True if the response carries the signature of an endpoint. */
     public fun isSigned(headers: HttpHeaders): Boolean
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/StageBalancer.kt
@@ -61,7 +61,7 @@
     private suspend fun checkServices(view: RoutingView) {
         trackMembership(view)
         view.endpoints.values
-            .filter { it.stage != null && !it.isDraining }
+            .filter { it.stage != null && !it.isDraining && !client.isLeaving(it) }
             .groupBy { it.service }
             .forEach { (service, engines) -> balance(service, engines, view) }
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -3,7 +3,9 @@
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.call.UpstreamProtocol
+import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.fleet.RetryBudgets
+import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.Route
 import io.knapweedferry.routing.model.RoutingView
 import io.knapweedferry.routing.model.RoutingViewHolder
@@ -18,6 +20,7 @@
     private val plain: PlainForwarder,
     private val stream: StreamForwarder,
     private val retryBudgets: RetryBudgets,
+    private val availability: EndpointAvailability,
     private val protocol: UpstreamProtocol,
     private val recorder: CallRecorder,
     private val random: Random = Random.Default,
@@ -87,7 +90,8 @@
 
     private suspend fun forward(job: ForwardingJob) {
         // Evaluated for each attempt, so that an endpoint that started to drain meanwhile gets no retry.
-        val candidates = { views.current.serving(job.service.name) }
+        val candidates = { views.current.serving(job.service.name).filter(availability::accepts) }
+        if (refuseIfNoneAccepts(job)) return
         val engine = job.service.engine
         if (engine == null) return plain.forward(job, candidates)
         runningModelRequests++
@@ -98,6 +102,15 @@
         }
     }
 
+    /** Refuses the request of [job] if all endpoints that could run it are leaving or paused. */
+    private fun refuseIfNoneAccepts(job: ForwardingJob): Boolean {
+        val listed = views.current.serving(job.service.name).filter { it.stage != EndpointStage.PREFILL }
+        if (listed.isEmpty() || listed.any(availability::accepts)) return false
+        val pauseMs = listed.filterNot(availability::isLeaving).minOfOrNull(availability::remainingPauseMs)
+        if (pauseMs == null) job.refuse(LocalResponse.NO_ENDPOINT) else job.refuse(LocalResponse.ENDPOINTS_PAUSED, pauseMs)
+        return true
+    }
+
     private fun expire(job: ForwardingJob) {
         if (job.reply.isFinished) return
         if (!job.reply.hasStarted) return job.refuse(if (job.record.mayHaveRun) LocalResponse.TIMED_OUT else LocalResponse.EXPIRED_UNSENT)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -8,6 +8,7 @@
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.call.ControlRequest
 import io.knapweedferry.routing.call.UpstreamProtocol
+import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.model.RoutedEndpoint
@@ -29,11 +30,18 @@
     private val pool: EndpointPool,
     private val selector: EndpointSelector,
     private val protocol: UpstreamProtocol,
+    private val availability: EndpointAvailability,
     private val scope: CoroutineScope,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
     private val responseMemory = ResponseMemory(MAX_RESPONSE_MEMORY_BYTES)
 
+    /** False if [endpoint] has said that it leaves or wants no requests for now. */
+    fun accepts(endpoint: RoutedEndpoint): Boolean = availability.accepts(endpoint)
+
+    /** True if [endpoint] has said that it leaves. */
+    fun isLeaving(endpoint: RoutedEndpoint): Boolean = availability.isLeaving(endpoint)
+
     /** Connects and sends the request. The caller must close the returned attempt. */
     suspend fun open(
         record: CallRecord,
@@ -42,6 +50,7 @@
         options: AttemptOptions,
     ): Either<AttemptFailure, Attempt> {
         val endpoint = choice.endpoint
+        if (!availability.accepts(endpoint)) return AttemptFailure.NotSent(NOT_ACCEPTING).left()
         val tracker = selector.tracker(endpoint.id)
         val inFlight = tracker.begin(options.kvTokens, options.pendingPrefillTokens, options.expectedFirstByteMs)
         var isOpen = false
@@ -56,6 +65,7 @@
                     // The connection may have taken long to establish, or the process may have been paused meanwhile.
                     val remainingMs = terms.remainingMs - connecting.elapsedNow().inWholeMilliseconds
                     if (remainingMs <= 0) return@flatMap notSent(connection, "the deadline has passed")
+                    if (!availability.accepts(endpoint)) return@flatMap notSent(connection, NOT_ACCEPTING)
                     val response = connection.send(outboundRequest(record.call, endpoint, terms.copy(remainingMs = remainingMs)))
                     record.recordSent(choice, terms)
                     isOpen = true
@@ -106,6 +116,7 @@
         request: ControlRequest,
         isPermitted: () -> Boolean,
     ): Either<AttemptFailure, BufferedResponse> {
+        if (availability.remainingPauseMs(endpoint) > 0) return AttemptFailure.NotSent(NOT_ACCEPTING).left()
         val headers = DefaultHttpHeaders().add(request.headers).set(HttpHeaderNames.HOST, endpoint.hostHeader())
         if (request.body.isNotEmpty()) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
@@ -148,6 +159,7 @@
 
     private companion object {
         const val CONTROL_TIMEOUT_MS = 1_000L
+        const val NOT_ACCEPTING = "the endpoint is leaving or wants no requests"
 
         /** A sixth of the heap; a response takes up to three times its size while it is read. */
         const val MAX_RESPONSE_MEMORY_BYTES = 16L * 1024 * 1024
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineReservations.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineReservations.kt
@@ -67,11 +67,12 @@
         tokens: Int,
         ttlMs: Long,
     ): ReservationResult {
+        if (!client.accepts(choice.endpoint)) return ReservationResult(ReservationOutcome.NO_ROOM)
         val tracker = selector.tracker(choice.endpoint.id)
         val request = protocol.reserve(choice.endpoint.id, tokens, ttlMs)
         val response =
             client.sendControl(choice.endpoint, request, RESERVE_TIMEOUT_MS).getOrElse {
-                tracker.recordUnreachable("reservation")
+                if (client.accepts(choice.endpoint)) tracker.recordUnreachable("reservation")
                 return ReservationResult(ReservationOutcome.UNANSWERED)
             }
         if (protocol.isWrongEndpoint(response.status, response.headers)) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
@@ -22,6 +22,7 @@
         "prompt_quarantined",
         "change the prompt; engines crashed on prompts with the same parts; this request has not run",
     ),
+    ENDPOINTS_PAUSED(503, "endpoints_paused", "repeat the request after the given time; all endpoints of the service asked for a pause"),
     ENTRY_FULL(503, "entry_full", "repeat the request at another entry; it has not run"),
     ENTRY_STOPPING(503, "entry_stopping", "repeat the request at another entry; it has not run"),
     EXPIRED_UNSENT(503, "expired_unsent", "repeat the request with a longer deadline; it has not run"),
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -1,7 +1,7 @@
 package io.knapweedferry.routing.upstream
 
-import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.UpstreamProtocol
+import io.knapweedferry.routing.model.RoutedEndpoint
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
@@ -27,13 +27,12 @@
  * a refusal: a repeated refusal could bear the id of a request that is sent again on the same connection.
  */
 internal class EndpointConnection(
-    val endpoint: EndpointId,
+    val endpoint: RoutedEndpoint,
     private val protocol: UpstreamProtocol,
     private val decoder: EndpointResponseDecoder,
     private val readLimit: ReadLimit,
     private val timeSource: TimeSource,
-    private val onReusable: (EndpointConnection) -> Unit,
-    private val onClosed: (EndpointConnection) -> Unit,
+    private val observer: EndpointConnectionObserver,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var pending: PendingResponse? = null
@@ -106,6 +105,7 @@
 
     private fun receiveHead(response: HttpResponse) {
         val pendingResponse = pending ?: return failConnection("response without a request")
+        if (isForPendingRequest(response)) observer.onHead(this, response)
         if (HttpStatusClass.INFORMATIONAL.contains(response.status().code())) {
             isSkippingResponse = true
             isReusable = isReusable && response.status() == HttpResponseStatus.CONTINUE
@@ -158,7 +158,7 @@
         pending = null
         pendingResponse.end(isDelimited)
         idleSince = timeSource.markNow()
-        if (isReusable) onReusable(this) else context.close()
+        if (isReusable) observer.onReusable(this) else context.close()
     }
 
     private fun failMalformed(cause: Throwable?) =
@@ -191,7 +191,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         failPending("connection closed", isDisconnect = true)
-        onClosed(this)
+        observer.onClosed(this)
     }
 
     private companion object {
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnectionObserver.kt
@@ -0,0 +1,17 @@
+package io.knapweedferry.routing.upstream
+
+import io.netty.handler.codec.http.HttpResponse
+
+/** Receives events of connections to endpoints, on the event loop. */
+internal interface EndpointConnectionObserver {
+    /** The head of a response to the pending request has arrived, possibly an interim one. */
+    fun onHead(
+        connection: EndpointConnection,
+        response: HttpResponse,
+    )
+
+    /** The response is complete and the connection may carry another request. */
+    fun onReusable(connection: EndpointConnection)
+
+    fun onClosed(connection: EndpointConnection)
+}
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.UpstreamProtocol
+import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
@@ -16,6 +17,7 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlin.coroutines.resume
@@ -25,8 +27,9 @@
 internal class EndpointPool(
     group: EventLoopGroup,
     private val protocol: UpstreamProtocol,
+    private val availability: EndpointAvailability,
     private val timeSource: TimeSource = TimeSource.Monotonic,
-) {
+) : EndpointConnectionObserver {
     private val idle = HashMap<EndpointId, ArrayDeque<EndpointConnection>>()
     private val bootstrap =
         Bootstrap()
@@ -73,7 +76,7 @@
     private suspend fun connect(endpoint: RoutedEndpoint): Either<AttemptFailure.NotSent, EndpointConnection> {
         val readLimit = ReadLimit()
         val decoder = EndpointResponseDecoder()
-        val connection = EndpointConnection(endpoint.id, protocol, decoder, readLimit, timeSource, ::returnIdle, ::removeClosed)
+        val connection = EndpointConnection(endpoint, protocol, decoder, readLimit, timeSource, this)
         val connecting =
             bootstrap
                 .clone()
@@ -98,14 +101,24 @@
         channel.close()
     }
 
-    private fun returnIdle(connection: EndpointConnection) {
-        val idleConnections = idle.getOrPut(connection.endpoint) { ArrayDeque() }
+    override fun onHead(
+        connection: EndpointConnection,
+        response: HttpResponse,
+    ) {
+        val status = response.status().code()
+        // Another endpoint that has taken over the address speaks for itself.
+        if (protocol.isWrongEndpoint(status, response.headers())) return
+        availability.record(connection.endpoint, status, protocol.readNotice(status, response.headers()))
+    }
+
+    override fun onReusable(connection: EndpointConnection) {
+        val idleConnections = idle.getOrPut(connection.endpoint.id) { ArrayDeque() }
         if (idleConnections.size >= MAX_IDLE_CONNECTIONS_PER_ENDPOINT) return connection.close()
         idleConnections.addLast(connection)
     }
 
-    private fun removeClosed(connection: EndpointConnection) {
-        idle[connection.endpoint]?.remove(connection)
+    override fun onClosed(connection: EndpointConnection) {
+        idle[connection.endpoint.id]?.remove(connection)
     }
 
     private companion object {
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -280,6 +280,15 @@
         "requests whose prompts contain certain parts are rejected because such requests crashed engines",
         "find out who sends prompts with these parts, and why engines crash on them",
     ),
+    ENDPOINT_ANNOUNCED_LEAVING(627, EventLevel.INFO, "endpoint said in a response that it is leaving", NO_ACTION),
+    ENDPOINT_PAUSED(628, EventLevel.WARN, "endpoint asked for a time without requests", "check the load of the endpoint"),
+    ENDPOINT_PAUSE_ENDED(629, EventLevel.INFO, "time without requests to the endpoint has ended", NO_ACTION),
+    ENDPOINT_PAUSE_INVALID(
+        630,
+        EventLevel.WARN,
+        "endpoint asked for a time without requests that cannot be read",
+        "correct the endpoint; the request for a pause is ignored",
+    ),
 
     // 7xx: platform
     LOG_DOWN(
