Take any answer that goes on as a sign that engines work

An entry refuses prompts only if others were answered since the first crash; it counted the starts of answers only. Now each further event of a running answer counts. An empty continuation with an end is malformed and no crash.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantine.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantine.kt
@@ -11,7 +11,7 @@
  *
  * When an engine crashes, the requests that it had not begun to answer are suspects. Prompt parts are suspected together: a
  * prompt is quarantined if it contains everything that the suspects of at least [MIN_CRASHES] crashes have in common, and if
- * other prompts began meanwhile. A part is cleared when an engine begins to answer a prompt that contains it, so parts that
+ * other prompts were answered meanwhile. A part is cleared when an engine answers a prompt that contains it, so parts that
  * sound requests share with the crashing ones stay usable. Crashes that hit requests by chance have no part in common.
  *
  * A quarantine ends after a time without a further crash; the time doubles with each crash that follows. No I/O; confined to
@@ -24,7 +24,7 @@
 
     /** Parts that were cleared, with the time of the last clearance; the least recent one first. */
     private val cleared = LinkedHashMap<PromptPartId, ComparableTimeMark>()
-    private var lastSoundStart: ComparableTimeMark? = null
+    private var lastAnswering: ComparableTimeMark? = null
 
     /** Suspect parts of one crash, as far as they are not cleared. */
     private class Crash(
@@ -49,9 +49,9 @@
         if (crashes.size > MAX_CRASHES) crashes.remove(crashes.keys.first())
     }
 
-    /** Records that an engine began to answer a prompt with the shared [parts]. */
-    public fun recordSoundStart(parts: Collection<PromptPartId>) {
-        lastSoundStart = timeSource.markNow()
+    /** Records that an engine answers a prompt with the shared [parts]; called with each part of the answer. */
+    public fun recordAnswering(parts: Collection<PromptPartId>) {
+        lastAnswering = timeSource.markNow()
         crashes.values.forEach { it.suspects.removeAll(parts.toSet()) }
         crashes.values.removeIf { it.suspects.isEmpty() }
         parts.forEach { part ->
@@ -75,13 +75,13 @@
         val matching = crashes.values.filter { part in it.suspects }
         if (matching.size < MIN_CRASHES) return null
         val common = matching.map { it.suspects.toSet() }.reduce { all, next -> all intersect next }
-        if (!prompt.containsAll(common) || !othersBeganSince(matching.minOf { it.at })) return null
+        if (!prompt.containsAll(common) || !othersAnsweredSince(matching.minOf { it.at })) return null
         val remainingMs = durationMs(matching.size) - matching.minOf { it.at.elapsedNow() }.inWholeMilliseconds
         return if (remainingMs > 0) QuarantineReason(common, matching.size, remainingMs) else null
     }
 
-    /** While no request begins at all, the engines or the network are at fault and not the prompt. */
-    private fun othersBeganSince(first: ComparableTimeMark) = lastSoundStart?.let { it >= first } ?: false
+    /** While no request is answered at all, the engines or the network are at fault and not the prompt. */
+    private fun othersAnsweredSince(first: ComparableTimeMark) = lastAnswering?.let { it >= first } ?: false
 
     private fun durationMs(crashCount: Int): Long = BASE_DURATION_MS shl minOf(crashCount - MIN_CRASHES, MAX_DOUBLINGS)
 
--- a/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantineSpec.kt
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantineSpec.kt
@@ -27,7 +27,7 @@
     }
 
     private fun sound(prompt: String) {
-        quarantine.recordSoundStart(parts(prompt))
+        quarantine.recordAnswering(parts(prompt))
         time += 10.milliseconds
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -9,8 +9,8 @@
 internal class EventRelay(
     private val job: ForwardingJob,
     private val settings: ForwardingSettings,
-    /** Called when the engine of the present attempt has shown that it can answer the request. */
-    private val onBegun: () -> Unit,
+    /** Called with each sign that the engine of the present attempt can answer the request. */
+    private val onAnswering: () -> Unit,
     /** Called when an attempt makes no progress; true if another engine has taken over the run. */
     private val failOver: suspend () -> Boolean,
 ) {
@@ -35,10 +35,7 @@
 
     /** Number of events with data that the present attempt has delivered. */
     var attemptEvents = 0
-        private set(value) {
-            if (field < PromptGuard.EVENTS_OF_A_BEGUN_RUN && value >= PromptGuard.EVENTS_OF_A_BEGUN_RUN) onBegun()
-            field = value
-        }
+        private set
 
     /** True if an earlier attempt has delivered events, so that the present one continues the stream. */
     private var isContinuation = false
@@ -63,22 +60,30 @@
                     if (splitter.partialEventBytes > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
                 }
                 is ResponsePart.Broken -> return if (part.isDisconnect) End.BROKEN else End.MALFORMED
-                is ResponsePart.End -> return if (isCutOff(part, splitter)) End.BROKEN else complete(splitter)
+                is ResponsePart.End -> return end(part, splitter)
             }
         }
     }
 
-    /**
-     * An endpoint that crashes closes its connection, often within an event or before the first one. A continuation without an
-     * event does not show that the stream was complete before.
-     */
+    /** A continuation without an event does not show that the stream was complete before. */
+    private suspend fun end(
+        part: ResponsePart.End,
+        splitter: EventSplitter,
+    ): End =
+        when {
+            isCutOff(part, splitter) -> End.BROKEN
+            isContinuation && attemptEvents == 0 -> End.MALFORMED
+            else -> complete(splitter)
+        }
+
+    /** An endpoint that crashes closes its connection, often within an event or before the first one. */
     private fun isCutOff(
         part: ResponsePart.End,
         splitter: EventSplitter,
-    ) = (isContinuation && attemptEvents == 0) || (!part.isDelimited && (splitter.hasPartialEvent || attemptEvents == 0))
+    ) = !part.isDelimited && (splitter.hasPartialEvent || attemptEvents == 0)
 
     private suspend fun complete(splitter: EventSplitter): End {
-        if (attemptEvents in 1 until PromptGuard.EVENTS_OF_A_BEGUN_RUN) onBegun()
+        if (attemptEvents > 0) onAnswering()
         val rest = StreamEvent(splitter.takePartialEvent())
         if (isContinuation && !rest.isWellFormed) return End.MALFORMED
         if (rest.bytes.isNotEmpty()) job.reply.write(rest.bytes)
@@ -107,6 +112,7 @@
         val dataEvents = events.count { it.hasData }
         if (dataEvents > 0) lastProgressMs = job.call.elapsedMs
         attemptEvents += dataEvents
+        if (dataEvents > 0 && attemptEvents >= PromptGuard.EVENTS_OF_A_BEGUN_RUN) onAnswering()
     }
 
     private companion object {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PromptGuard.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PromptGuard.kt
@@ -30,8 +30,8 @@
     fun findQuarantine(job: ForwardingJob): QuarantineReason? =
         of(job.service.name).find(job.call.traits.sharedPromptParts)?.also { logOnce(job.service.name, it) }
 
-    /** Records that an engine began to answer the request of [job]. */
-    fun recordBegun(job: ForwardingJob) = of(job.service.name).recordSoundStart(job.call.traits.sharedPromptParts)
+    /** Records that an engine answers the request of [job]. */
+    fun recordAnswering(job: ForwardingJob) = of(job.service.name).recordAnswering(job.call.traits.sharedPromptParts)
 
     /** Records that the connection of a run at [engine] was closed after [deliveredEvents] events. */
     fun recordBroken(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -48,7 +48,7 @@
         private val estimate = RunTimeEstimate(job)
         private val retryBudget = retryBudgets.of(job.service.name)
         private val tried = HashSet<EndpointId>()
-        private val relay = EventRelay(job, settings, { guard.recordBegun(job) }, ::reserveReplacement)
+        private val relay = EventRelay(job, settings, { guard.recordAnswering(job) }, ::reserveReplacement)
 
         /** Reservation at the engine that takes over from an attempt without progress. */
         private var replacement: Admission? = null
