Keep the marks of endpoints that are missing in the list for a while

An endpoint that said that it leaves may be missing in the list and register again under its incarnation, after an outage of the store; its mark was forgotten with its record. Marks are bounded by number instead. Also avoids a set for each recorded crash with each event of a stream.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantine.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantine.kt
@@ -52,7 +52,8 @@
     /** Records that an engine answers a prompt with the shared [parts]; called with each part of the answer. */
     public fun recordAnswering(parts: Collection<PromptPartId>) {
         lastAnswering = timeSource.markNow()
-        crashes.values.forEach { it.suspects.removeAll(parts.toSet()) }
+        val answered = parts.toSet()
+        crashes.values.forEach { it.suspects.removeAll(answered) }
         crashes.values.removeIf { it.suspects.isEmpty() }
         parts.forEach { part ->
             cleared.remove(part)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -117,7 +117,6 @@
         val known = views.current.endpoints.keys
         pool.retain(known)
         selector.retain(known)
-        availability.retain(known)
     }
 
     /** Reports not ready, still serves new requests, and waits until all have completed; false if the drain timeout expired first. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointAvailability.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointAvailability.kt
@@ -19,7 +19,8 @@
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val random: Random = Random.Default,
 ) {
-    private val states = HashMap<EndpointId, State>()
+    /** Also of endpoints that are missing in the list, because the same incarnation may register again; the oldest one first. */
+    private val states = LinkedHashMap<EndpointId, State>()
 
     private class State(
         val startedAtMs: Long,
@@ -56,11 +57,6 @@
         return 0
     }
 
-    /** Forgets endpoints that are not in [known]. */
-    fun retain(known: Set<EndpointId>) {
-        states.keys.retainAll(known)
-    }
-
     private fun recordLeaving(
         endpoint: RoutedEndpoint,
         status: Int,
@@ -97,11 +93,18 @@
 
     private fun state(endpoint: RoutedEndpoint) = states[endpoint.id]?.takeIf { it.startedAtMs == endpoint.startedAtMs }
 
-    private fun stateOrNew(endpoint: RoutedEndpoint) = state(endpoint) ?: State(endpoint.startedAtMs).also { states[endpoint.id] = it }
+    private fun stateOrNew(endpoint: RoutedEndpoint): State {
+        state(endpoint)?.let { return it }
+        if (states.size >= MAX_STATES) states.remove(states.keys.first())
+        return State(endpoint.startedAtMs).also { states[endpoint.id] = it }
+    }
 
     private companion object {
         /** Instances return to the endpoint one after another within this share of the pause. */
         const val SPREAD_SHARE = 0.1
         const val MIN_SPREAD_MS = 50.0
+
+        /** More than the endpoints of a fleet that leave or pause within minutes. */
+        const val MAX_STATES = 1_024
     }
 }
--- a/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/fleet/EndpointAvailabilitySpec.kt
+++ b/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/fleet/EndpointAvailabilitySpec.kt
@@ -99,6 +99,13 @@
         assertEquals(4, lines.size, "$lines")
     }
 
+    @Test
+    fun `the marks of many endpoints are bounded and the latest ones are kept`() {
+        repeat(5_000) { availability.record(endpoint("e$it"), 200, EndpointNotice(isLeaving = true)) }
+        assertEquals(1_024, (0 until 5_000).count { availability.isLeaving(endpoint("e$it")) })
+        assertTrue(availability.isLeaving(endpoint("e4999")))
+    }
+
     private companion object {
         const val LONGEST_MS = 5_000L
     }
