--- /dev/null
+++ b/review/standins/OddEntry.java
@@ -0,0 +1,63 @@
+package standins;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Another writer leaves one entry among those of the workers: a copy of a worker's entry whose key is padded with zero bytes. */
+final class OddEntry {
+    private static final int CLIENTS = 10;
+    private static final long TIMEOUT_MS = 600;
+    private static final long LENGTH_MS = 15_000;
+
+    private OddEntry() {
+    }
+
+    public static void main(String[] arguments) {
+        Case.run(arguments, OddEntry::run);
+    }
+
+    private static boolean run(Deployment deployment, boolean withTrouble) throws Exception {
+        Journal journal = deployment.journal;
+        List<Worker> workers = new ArrayList<>();
+        for (int i = 1; i <= 3; i++) workers.add(deployment.worker("w-" + i, Deployment.PLAIN, null, 6));
+        EntryProcess entry = deployment.entry("edge-1");
+        long start = journal.nowMs();
+        AtomicInteger sent = new AtomicInteger();
+        AtomicInteger overdue = new AtomicInteger();
+        AtomicInteger unanswered = new AtomicInteger();
+        List<Thread> clients = new ArrayList<>();
+        for (int c = 1; c <= CLIENTS; c++) {
+            String client = "stamp-" + c + "-";
+            Thread thread = new Thread(() -> {
+                for (int i = 1; journal.nowMs() - start < LENGTH_MS; i++) {
+                    try (Caller caller = deployment.caller(entry)) {
+                        long sentAt = journal.nowMs();
+                        sent.incrementAndGet();
+                        caller.send("POST", "/stamp/a", client + i, TIMEOUT_MS, new byte[100]);
+                        Caller.Answer answer = caller.await(TIMEOUT_MS + 500);
+                        journal.add(client + i + ": " + answer.summary());
+                        if (answer.atMs() - sentAt > TIMEOUT_MS + 20) overdue.incrementAndGet();
+                        if (answer.isUnanswered()) unanswered.incrementAndGet();
+                        Thread.sleep(400);
+                    } catch (Exception e) {
+                        journal.add(client + i + ": " + e);
+                    }
+                }
+            });
+            thread.start();
+            clients.add(thread);
+        }
+        Thread.sleep(4_000);
+        if (withTrouble) {
+            deployment.store.put("keyed.servers", "w-2\0\0\0\0\0", workers.get(1).beatText());
+            journal.add("another writer adds an entry: the one of w-2 under the key 'w-2' and five zero bytes");
+        }
+        for (Thread client : clients) client.join();
+        for (String line : entry.logLines("w-2")) if (!line.contains("stamp")) journal.add("edge-1 logs " + line);
+        for (String line : entry.logLines("Exception")) journal.add("edge-1 logs " + line.substring(0, Math.min(line.length(), 260)));
+        journal.add(sent + " requests sent, " + overdue + " lasted longer than their route's timeout, "
+            + unanswered + " of them have no answer half a second after it");
+        return unanswered.get() >= 8 && unanswered.get() * 4 > overdue.get();
+    }
+}
