--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -32,6 +32,7 @@
             {"name":"fleet-review","host":"%2$s","path-prefix":"/review/","kind":"streaming","timeout-ms":14000,"target-latency-ms":800,"priority":0,"service":"%3$s","max-attempts":2,"sticky":true,"resumable":true,"gap-target-ms":300},
             {"name":"liner-survey","host":"%2$s","path-prefix":"/survey/","kind":"streaming","timeout-ms":14000,"target-latency-ms":1000,"priority":1,"service":"%3$s","max-attempts":1,"sticky":true,"resumable":false,"gap-target-ms":300},
             {"name":"loaner-note","host":"%2$s","path-prefix":"/note/","kind":"streaming","timeout-ms":14000,"target-latency-ms":2000,"priority":2,"service":"%3$s","max-attempts":2,"sticky":true,"resumable":true,"gap-target-ms":300},
+            {"name":"split","host":"%2$s","path-prefix":"/split/","kind":"streaming","timeout-ms":14000,"target-latency-ms":800,"priority":0,"traffic-split":[{"service":"%3$s","weight":50},{"service":"%4$s","weight":50}],"max-attempts":2,"sticky":true,"resumable":true,"gap-target-ms":300},
             {"name":"tag-stamp","host":"%2$s","path-prefix":"/stamp/","kind":"non_idempotent","timeout-ms":600,"target-latency-ms":121,"priority":2,"service":"%4$s","max-attempts":1},
             {"name":"locker-lookup","host":"%2$s","path-prefix":"/locker/","kind":"idempotent","timeout-ms":600,"target-latency-ms":121,"priority":2,"service":"%4$s","max-attempts":2}],
             "services":[
