--- a/review/standins/CutStream.java
+++ b/review/standins/CutStream.java
@@ -23,7 +23,7 @@
         deployment.worker("w-decode-1", Deployment.MODEL, "decode", 64);
         deployment.worker("w-decode-2", Deployment.MODEL, "decode", 64);
         List<Worker> plain = new ArrayList<>();
-        for (int i = 1; i <= 3; i++) plain.add(deployment.worker("w-plain-" + i, Deployment.PLAIN, null, 6));
+        for (int i = 1; i <= 6; i++) plain.add(deployment.worker("w-plain-" + i, Deployment.PLAIN, null, 6));
         AtomicInteger streams = new AtomicInteger();
         for (Worker worker : plain) {
             worker.hook = exchange -> exchange.header("X-Attempt-Id") != null
--- a/review/standins/EndlessLines.java
+++ b/review/standins/EndlessLines.java
@@ -10,6 +10,8 @@
 final class EndlessLines {
     private static final int CLIENTS = 6;
     private static final long TIMEOUT_MS = 600;
+    /** The clients would wait beyond the route's timeout. */
+    private static final long DEADLINE_MS = 2_000;
     private static final long LENGTH_MS = 25_000;
 
     private EndlessLines() {
@@ -45,7 +47,7 @@
                     try (Caller caller = deployment.caller(entry)) {
                         long sentAt = journal.nowMs();
                         sent.incrementAndGet();
-                        caller.send("GET", "/locker/a", client + i, TIMEOUT_MS, new byte[0]);
+                        caller.send("GET", "/locker/a", client + i, DEADLINE_MS, new byte[0]);
                         Caller.Answer answer = caller.await(TIMEOUT_MS + 500);
                         journal.add(client + i + ": " + answer.summary());
                         if (answer.atMs() - sentAt > TIMEOUT_MS + 20) overdue.incrementAndGet();
--- a/review/standins/OddEntry.java
+++ b/review/standins/OddEntry.java
@@ -8,6 +8,8 @@
 final class OddEntry {
     private static final int CLIENTS = 16;
     private static final long TIMEOUT_MS = 600;
+    /** The clients would wait beyond the route's timeout. */
+    private static final long DEADLINE_MS = 2_000;
     private static final long LENGTH_MS = 20_000;
 
     private OddEntry() {
@@ -40,7 +42,7 @@
                     try (Caller caller = deployment.caller(entry)) {
                         long sentAt = journal.nowMs();
                         sent.incrementAndGet();
-                        caller.send("POST", "/stamp/a", client + i, TIMEOUT_MS, new byte[100]);
+                        caller.send("POST", "/stamp/a", client + i, DEADLINE_MS, new byte[100]);
                         Caller.Answer answer = caller.await(TIMEOUT_MS + 500);
                         journal.add(client + i + ": " + answer.summary());
                         if (answer.atMs() - sentAt > TIMEOUT_MS + 20) overdue.incrementAndGet();
