Relay streams of plain services event by event

Events also reached the caller only after the last one.

Change: the kind of the route decides. StreamForwarder relays all streaming routes; what differs between engines and plain services (admission, prefill, expected load) is behind StreamPlacement.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -17,8 +17,10 @@
 import io.knapweedferry.routing.pipeline.EndpointClient
 import io.knapweedferry.routing.pipeline.EngineReservations
 import io.knapweedferry.routing.pipeline.PlainForwarder
+import io.knapweedferry.routing.pipeline.PrefillRunner
 import io.knapweedferry.routing.pipeline.PromptGuard
 import io.knapweedferry.routing.pipeline.StreamForwarder
+import io.knapweedferry.routing.pipeline.StreamPlacements
 import io.knapweedferry.routing.upstream.EndpointPool
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.LogEvent
@@ -78,8 +80,10 @@
         val plain = PlainForwarder(client, selector, retryBudgets, protocol, recorder, settings.forwarding)
         val reservations = EngineReservations(client, selector, protocol, metrics)
         val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
-        val stream = StreamForwarder(client, admissions, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
-        return CallPipeline(views, plain, stream, retryBudgets, availability, protocol, recorder)
+        val prefill = PrefillRunner(client, selector, retryBudgets, protocol, settings.forwarding)
+        val placements = StreamPlacements(admissions, prefill, selector, settings.forwarding)
+        val stream = StreamForwarder(client, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
+        return CallPipeline(views, plain, stream, placements, retryBudgets, availability, protocol, recorder)
     }
 
     /** Starts the listeners for callers and operators. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -7,6 +7,7 @@
 import io.knapweedferry.routing.fleet.RetryBudgets
 import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.Route
+import io.knapweedferry.routing.model.RouteKind
 import io.knapweedferry.routing.model.RoutingView
 import io.knapweedferry.routing.model.RoutingViewHolder
 import kotlinx.coroutines.CancellationException
@@ -19,6 +20,7 @@
     private val views: RoutingViewHolder,
     private val plain: PlainForwarder,
     private val stream: StreamForwarder,
+    private val placements: StreamPlacements,
     private val retryBudgets: RetryBudgets,
     private val availability: EndpointAvailability,
     private val protocol: UpstreamProtocol,
@@ -92,13 +94,13 @@
         // Evaluated for each attempt, so that an endpoint that started to drain meanwhile gets no retry.
         val candidates = { views.current.serving(job.service.name).filter(availability::accepts) }
         if (refuseIfNoneAccepts(job)) return
-        val engine = job.service.engine
-        if (engine == null) return plain.forward(job, candidates)
-        runningModelRequests++
+        val isModelRequest = job.service.engine != null
+        if (!isModelRequest && job.route.kind != RouteKind.STREAM) return plain.forward(job, candidates)
+        if (isModelRequest) runningModelRequests++
         try {
-            stream.forward(job, engine, candidates)
+            stream.forward(job, placements.of(job, candidates))
         } finally {
-            runningModelRequests--
+            if (isModelRequest) runningModelRequests--
         }
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -10,7 +10,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Forwards requests to plain services. A response is buffered and delivered once it is complete, so that an attempt that
+ * Forwards requests other than streams to plain services. A response is buffered and delivered once it is complete, so that an attempt that
  * fails midway can be retried where the route allows it.
  */
 internal class PlainForwarder(
@@ -105,7 +105,7 @@
             return Outcome.NotRun
         }
 
-        private suspend fun fetch(choice: EndpointChoice) = client.fetch(record, choice, job.terms(choice.endpoint), options())
+        private suspend fun fetch(choice: EndpointChoice) = client.fetch(record, choice, job.terms(choice.endpoint), AttemptOptions.plain(job.route, settings))
 
         /** Null for an attempt that cannot be retried: it may take until the caller's deadline. */
         private fun timeoutMs(): Long? {
@@ -115,14 +115,6 @@
         }
 
         private fun mayRetry(): Boolean = record.sentCount < job.route.maxAttempts && retryBudgets.of(job.service.name).tryRetry()
-
-        private fun options() =
-            AttemptOptions(
-                kvTokens = 0,
-                pendingPrefillTokens = 0,
-                expectedFirstByteMs = EndpointSelector.PLAIN_SERVICE_TIME_MS,
-                maxIdleMs = if (job.route.isRepeatable) Long.MAX_VALUE else settings.nonRepeatableMaxIdleMs,
-            )
     }
 
     private sealed interface Outcome {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -2,52 +2,42 @@
 
 import arrow.core.Either
 import arrow.core.getOrElse
-import io.knapweedferry.api.EndpointId
 import io.knapweedferry.policy.quarantine.QuarantineReason
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
-import io.knapweedferry.routing.model.EndpointStage
-import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.upstream.AttemptFailure
 import io.knapweedferry.routing.upstream.ResponseHead
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Forwards model requests, which are answered with event streams. The prompt is processed by a prefill engine if one is
- * available, and the run continues at a decode engine. A resumable stream that breaks off is resumed at another engine
- * after the last event that was delivered completely.
+ * Forwards requests that are answered with event streams: those of streaming routes, and all model requests. A resumable
+ * stream that breaks off is resumed at another endpoint after the last event that was delivered completely.
  */
 internal class StreamForwarder(
     private val client: EndpointClient,
-    private val admissions: AdmissionController,
     private val selector: EndpointSelector,
     private val retryBudgets: RetryBudgets,
     private val protocol: UpstreamProtocol,
     private val guard: PromptGuard,
     private val settings: ForwardingSettings,
 ) {
-    private val prefill = PrefillRunner(client, selector, retryBudgets, protocol, settings)
-
+    /** Forwards the request of [job] to the endpoints that [placement] selects. */
     suspend fun forward(
         job: ForwardingJob,
-        engine: EngineProfile,
-        candidates: () -> List<RoutedEndpoint>,
-    ) = Execution(job, engine, candidates).execute()
+        placement: StreamPlacement,
+    ) = Execution(job, placement).execute()
 
     private inner class Execution(
         private val job: ForwardingJob,
-        private val engine: EngineProfile,
-        private val candidates: () -> List<RoutedEndpoint>,
+        private val placement: StreamPlacement,
     ) {
         private val record = job.record
         private val recorder = job.recorder
-        private val estimate = RunTimeEstimate(job)
         private val retryBudget = retryBudgets.of(job.service.name)
-        private val tried = HashSet<EndpointId>()
         private val relay = EventRelay(job, settings, { guard.recordAnswering(job) }, ::reserveReplacement)
 
         /** Reservation at the engine that takes over from an attempt without progress. */
@@ -86,28 +76,26 @@
 
         /** Null if no engine granted a reservation in time, or if the prompt must not be sent to an engine. */
         private suspend fun attempt(): Outcome? {
-            if (isQuarantined()) return null.also { replacement?.let(admissions::release) }
-            val admission = replacement ?: admit(isResumed = job.reply.hasStarted, estimate.maxQueueWaitMs)
+            if (isQuarantined()) return null.also { replacement?.let(placement::release) }
+            val admission = replacement ?: placement.admit(isResumed = job.reply.hasStarted)
             replacement = null
             if (admission == null) {
-                record.recordStep("no_room:${admissions.waitingCount(job.service.name)}")
-                refusal = LocalResponse.ENDPOINTS_FULL
+                refusal = placement.refusal
                 return null
             }
             record.recordStep("admitted")
             val admittedAtMs = job.call.elapsedMs
             val choice = admission.choice
-            tried += choice.endpoint.id
-            val kvSource = if (shouldPrefill() && !isQuarantined()) prefill.run(job, engine, candidates(), choice.endpoint) else null
-            if (isQuarantined()) return null.also { admissions.release(admission) }
+            val kvSource = if (shouldPrefill() && !isQuarantined()) placement.prefill(choice.endpoint) else null
+            if (isQuarantined()) return null.also { placement.release(admission) }
             val terms =
                 job
                     .terms(
                         choice.endpoint,
                     ).copy(kvSource = kvSource, reservation = admission.reservation, lastEventId = relay.lastEventId)
-            val opened = client.open(record, choice, terms, estimate.runOptions(choice.endpoint, kvSource != null, settings))
+            val opened = client.open(record, choice, terms, placement.runOptions(choice.endpoint, kvSource != null))
             val outcome = opened.fold({ onFailure(choice.endpoint, it) }, { attempt -> receive(choice, attempt, terms) })
-            if (outcome == Outcome.Completed) admissions.recordCompletedRun(job, engine, job.call.elapsedMs - admittedAtMs)
+            if (outcome == Outcome.Completed) placement.recordCompletedRun(job.call.elapsedMs - admittedAtMs)
             return outcome
         }
 
@@ -117,20 +105,15 @@
             return quarantine != null
         }
 
-        private suspend fun admit(
-            isResumed: Boolean,
-            waitMs: Long,
-        ): Admission? = admissions.admit(AdmissionTicket(job, isResumed, estimate.timeToFirstEventMs, candidates, tried), engine, waitMs)
-
         /**
          * Reserves another engine for a run without progress. The present attempt goes on until there is one, because it may be
          * slow but sound.
          */
         private suspend fun reserveReplacement(): Boolean {
             if (!canFailOver()) return false
-            val admission = admit(isResumed = true, settings.replacementWaitMs) ?: return false
+            val admission = placement.admitReplacement(settings.replacementWaitMs) ?: return false
             if (!retryBudget.tryRetry()) {
-                admissions.release(admission)
+                placement.release(admission)
                 return false
             }
             replacement = admission
@@ -147,7 +130,7 @@
             try {
                 attempt.use { receive(it, terms) }
             } finally {
-                admissions.onCapacityReleased(job.service.name, choice.endpoint.id)
+                placement.onRunEnded(choice.endpoint)
             }
 
         private suspend fun receive(
@@ -239,7 +222,7 @@
             job.route.isResumable &&
                 record.sentCount < job.route.maxAttempts &&
                 retryBudget.available() > 0 &&
-                candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
+                placement.hasAlternative()
 
         private fun mayRetry(outcome: Outcome.Retryable): Boolean {
             val attemptMayHaveRun = outcome.refusal != LocalResponse.ENDPOINTS_FULL
