Answer requests that wait when their entry stops

Cause: only the arrival of a request looked at the end of the process, from 2.5 s after the signal on. Nothing that waits asked again, and the end of the drain answered nobody.

Change: StopDeadline is known from the signal on. Pipelined requests that were read are served before the connection closes.

Evidence: StopWhileWaitingSpec, five things to wait for (admission, reservation response, prefill, stream head, plain response): with the main code of all five got no answer; all are answered now.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -130,19 +130,29 @@
         listener.beginStopping()
         val drained =
             withTimeoutOrNull(settings.drainTimeoutMs) {
-                delay(settings.deregistrationDelayMs)
-                withContext(loop) { awaitIdle(endsAt) }
+                withContext(loop) {
+                    pipeline.stop.begin(endsAt)
+                    val ending = launch { endUnansweredAt(endsAt) }
+                    delay(settings.deregistrationDelayMs)
+                    awaitIdle()
+                    ending.cancel()
+                }
             }
         return drained != null
     }
 
+    private suspend fun endUnansweredAt(end: ComparableTimeMark) {
+        delay(-end.elapsedNow())
+        pipeline.endUnanswered()
+    }
+
     /**
      * Serves what callers still send until the model requests in progress have ended: the platform may go on using an entry
      * that is not ready. Requests that might outlast this process are refused as not run. Then stops accepting, and serves the
      * connections that were accepted.
      */
-    private suspend fun awaitIdle(endsAt: ComparableTimeMark) {
-        pipeline.endsAt = endsAt
+    private suspend fun awaitIdle() {
+        pipeline.stop.stopAcceptingLongRequests()
         listener.closeIdle()
         while (pipeline.runningModelRequests > 0) delay(DRAIN_POLL_INTERVAL_MS)
         listener.stopAccepting()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
@@ -157,7 +157,14 @@
         val requestIdHeader =
             next.call.traits.requestId
                 ?.let { protocol.requestIdHeader to it }
-        val reply = NettyReply(context, next.call.method, requestIdHeader, { next.keepsAlive && !isStopping() }, ::awaitWritable)
+        val reply =
+            NettyReply(
+                context,
+                next.call.method,
+                requestIdHeader,
+                { next.keepsAlive && (queued.isNotEmpty() || !isStopping()) },
+                ::awaitWritable,
+            )
         try {
             pipeline.serve(next.call, reply)
         } finally {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
@@ -83,18 +83,26 @@
     /** The order of two requests may change with time, so positions are read once before sorting. */
     private fun inPriorityOrder(): List<AdmissionTicket> = tickets.map { it to it.queuePosition }.sortedBy { it.second }.map { it.first }
 
-    /** Refuses requests that would not be admitted in time at the rate of recent grants. */
+    /** Refuses requests that would not be admitted in time at the rate of recent grants, or whose run could outlast this process. */
     private fun refuseUnservable() {
         inPriorityOrder().forEachIndexed { ahead, ticket ->
-            val forecastMs = grantRate.waitMs(ahead) ?: return
             if (ticket in pendingReservations || ticket.isResumed) return@forEachIndexed
+            if (ticket.outlastsProcess) return@forEachIndexed refuse(ticket, "stopping:$ahead")
+            val forecastMs = grantRate.waitMs(ahead) ?: return@forEachIndexed
             if (forecastMs <= -ticket.waitDeadline.elapsedNow().inWholeMilliseconds) return@forEachIndexed
-            ticket.job.record.recordStep("hopeless:$ahead/${forecastMs.toInt()}")
-            tickets -= ticket
-            ticket.admission.complete(null)
+            refuse(ticket, "hopeless:$ahead/${forecastMs.toInt()}")
         }
     }
 
+    private fun refuse(
+        ticket: AdmissionTicket,
+        step: String,
+    ) {
+        ticket.job.record.recordStep(step)
+        tickets -= ticket
+        ticket.admission.complete(null)
+    }
+
     private fun reserveNext(engine: EngineProfile) {
         for (ticket in inPriorityOrder()) {
             val pending = pendingReservations[ticket]
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionTicket.kt
@@ -19,6 +19,9 @@
     /** Engines that this request has already tried. */
     private val excluded: Set<EndpointId>,
 ) {
+    /** True if this process stops and might end before the run of this request, even if it were admitted now. */
+    val outlastsProcess: Boolean get() = !isResumed && RunTimeEstimate(job).outlastsProcess
+
     /** Completed with null if the request cannot be admitted in time. */
     val admission = CompletableDeferred<Admission?>()
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -11,9 +11,12 @@
 import io.knapweedferry.routing.model.RoutingView
 import io.knapweedferry.routing.model.RoutingViewHolder
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
-import kotlin.time.ComparableTimeMark
 
 /** Handles one request: finds its route, applies its timeout, forwards it according to its kind and records the outcome. */
 internal class CallPipeline(
@@ -27,11 +30,11 @@
     private val recorder: CallRecorder,
     private val random: Random = Random.Default,
 ) {
-    /**
-     * Time at which this process ends its requests at the latest; null while it is not stopping. New model requests are refused
-     * then, and others if they might not end before. Confined to the event loop.
-     */
-    var endsAt: ComparableTimeMark? = null
+    /** When this process ends its requests at the latest. */
+    val stop = StopDeadline()
+
+    /** Requests in progress with their coroutines. Confined to the event loop. */
+    private val running = LinkedHashMap<ForwardingJob, Job>()
 
     /** Model requests in progress. Confined to the event loop. */
     var runningModelRequests = 0
@@ -46,7 +49,8 @@
         try {
             val job = route(record, view, reply) ?: return
             retryBudgets.of(job.service.name).recordRequest()
-            withTimeoutOrNull(job.remainingMs) { forward(job) } ?: expire(job)
+            val isForwarded = withTimeoutOrNull(job.remainingMs) { forwardUntilStop(job) } ?: false
+            if (!isForwarded) expire(job)
         } catch (cancelled: CancellationException) {
             // The scope cancels a call only when the connection of its caller has closed.
             recorder.recordCallerDisconnect(record)
@@ -54,12 +58,31 @@
         }
     }
 
-    /** False if the process might end before the request of [job] has been answered. */
-    private fun canComplete(job: ForwardingJob): Boolean {
-        val end = endsAt ?: return true
-        return job.service.engine == null && job.remainingMs < -end.elapsedNow().inWholeMilliseconds
+    /** False if [endUnanswered] ended the request before its response began. */
+    private suspend fun forwardUntilStop(job: ForwardingJob): Boolean =
+        coroutineScope {
+            val forwarding = launch(start = CoroutineStart.UNDISPATCHED) { forward(job) }
+            running[job] = forwarding
+            try {
+                forwarding.join()
+            } finally {
+                running -= job
+            }
+            !forwarding.isCancelled
+        }
+
+    /**
+     * Ends the requests whose response has not begun, because this process stops: each gets a response that says whether it may
+     * have run. Streams go on. Must be called on the event loop.
+     */
+    fun endUnanswered() {
+        running.filterKeys { !it.reply.hasStarted }.values.forEach { it.cancel() }
     }
 
+    /** False if the process might end before the request of [job] has been answered. */
+    private fun canComplete(job: ForwardingJob): Boolean =
+        stop.acceptsLongRequests || (job.service.engine == null && job.remainingMs < stop.remainingMs)
+
     /** Null if the request was refused; the refusal has been sent then. */
     private fun route(
         record: CallRecord,
@@ -70,7 +93,7 @@
         val route = table.find(record.call.host, record.call.target) ?: return refuse(record, reply, LocalResponse.NO_ROUTE)
         record.route = route
         val service = table.service(pickTarget(route)) ?: return refuse(record, reply, LocalResponse.NO_ENDPOINT)
-        val job = ForwardingJob(record, route, service, reply, protocol, recorder)
+        val job = ForwardingJob(record, route, service, reply, protocol, recorder, stop)
         return if (canComplete(job)) job else refuse(record, reply, LocalResponse.ENTRY_STOPPING)
     }
 
@@ -79,7 +102,7 @@
         reply: CallerReply,
         response: LocalResponse,
     ): ForwardingJob? {
-        reply.refuse(response, if (response.promisesNotRun) NOT_READY_RETRY_AFTER_MS else null)
+        reply.refuse(response, if (response.promisesNotRun) ForwardingJob.OTHER_ENTRY_RETRY_AFTER_MS else null)
         recorder.recordRefused(record, response)
         return null
     }
@@ -115,13 +138,15 @@
 
     private fun expire(job: ForwardingJob) {
         if (job.reply.isFinished) return
-        if (!job.reply.hasStarted) return job.refuse(if (job.record.mayHaveRun) LocalResponse.TIMED_OUT else LocalResponse.EXPIRED_UNSENT)
+        if (!job.reply.hasStarted) return job.refuse(expiryResponse(job))
         job.reply.abort()
         recorder.recordAborted(job.record, "timeout")
     }
 
-    private companion object {
-        /** Another entry may have a configuration already, and this one is likely to receive it soon. */
-        const val NOT_READY_RETRY_AFTER_MS = 150L
-    }
+    private fun expiryResponse(job: ForwardingJob) =
+        when {
+            job.record.mayHaveRun -> LocalResponse.TIMED_OUT
+            job.remainingMs > 0 -> LocalResponse.ENTRY_STOPPING
+            else -> LocalResponse.EXPIRED_UNSENT
+        }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EnginePlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EnginePlacement.kt
@@ -21,7 +21,9 @@
     private val estimate = RunTimeEstimate(job)
     private val tried = HashSet<EndpointId>()
 
-    override val refusal = LocalResponse.ENDPOINTS_FULL
+    override val refusal get() = if (outlastsProcess) LocalResponse.ENTRY_STOPPING else LocalResponse.ENDPOINTS_FULL
+
+    override val outlastsProcess get() = estimate.outlastsProcess
 
     override suspend fun admit(isResumed: Boolean): Admission? {
         val admission = admit(isResumed, estimate.maxQueueWaitMs)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -17,6 +17,7 @@
     val reply: CallerReply,
     private val protocol: UpstreamProtocol,
     val recorder: CallRecorder,
+    private val stop: StopDeadline,
 ) {
     val call: CallRequest get() = record.call
 
@@ -40,6 +41,9 @@
     /** True if an engine that starts now can still deliver the first event within the route's target latency. */
     fun canMeetTarget(timeToFirstEventMs: Double): Boolean = call.elapsedMs + timeToFirstEventMs < route.targetLatencyMs
 
+    /** True if this process stops and might end before a run of [runMs] that starts now. */
+    fun outlastsProcess(runMs: Double): Boolean = stop.remainingMs < runMs
+
     /** Terms of an attempt at [endpoint]. */
     fun terms(endpoint: RoutedEndpoint): AttemptTerms =
         AttemptTerms(endpoint = endpoint.id, remainingMs = remainingMs, priority = route.priority, lastEventId = call.traits.lastEventId)
@@ -53,7 +57,7 @@
     /** Responds with an error. If the request certainly did not run, the response says when to retry: after [retryAfterMs]. */
     fun refuse(
         response: LocalResponse,
-        retryAfterMs: Long = usualRetryAfterMs(),
+        retryAfterMs: Long = usualRetryAfterMs(response),
     ) {
         reply.refuse(response, if (response.promisesNotRun) retryAfterMs else null)
         recorder.recordRefused(record, response)
@@ -63,18 +67,22 @@
      * Callers accept a delay of up to a third of their remaining time. Engines that were full for as long as a model request
      * could wait stay full for seconds, so its caller should retry as late as possible; a plain service is soon free again.
      */
-    private fun usualRetryAfterMs(): Long {
+    private fun usualRetryAfterMs(response: LocalResponse): Long {
+        if (response == LocalResponse.ENTRY_STOPPING) return OTHER_ENTRY_RETRY_AFTER_MS
         val longestMs = remainingMs / RETRY_AFTER_DIVISOR
         if (service.engine != null) return longestMs.coerceAtLeast(MIN_RETRY_AFTER_MS)
         return min(route.targetLatencyMs / 2, longestMs).coerceAtLeast(MIN_RETRY_AFTER_MS)
     }
 
-    private companion object {
+    companion object {
+        /** For callers that should turn to another entry, which may serve them at once. */
+        const val OTHER_ENTRY_RETRY_AFTER_MS = 150L
+
         /** A retry that comes sooner than an endpoint finishes one request would find it still full. */
-        const val MIN_RETRY_AFTER_MS = 40L
-        const val RETRY_AFTER_DIVISOR = 4
+        private const val MIN_RETRY_AFTER_MS = 40L
+        private const val RETRY_AFTER_DIVISOR = 4
 
         /** The first attempt of a caller has a deadline between 6/7 of the route's timeout and the full timeout. */
-        const val FIRST_DEADLINE_SHARE = 0.8
+        private const val FIRST_DEADLINE_SHARE = 0.8
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -105,7 +105,8 @@
             return Outcome.NotRun
         }
 
-        private suspend fun fetch(choice: EndpointChoice) = client.fetch(record, choice, job.terms(choice.endpoint), AttemptOptions.plain(job.route, settings))
+        private suspend fun fetch(choice: EndpointChoice) =
+            client.fetch(record, choice, job.terms(choice.endpoint), AttemptOptions.plain(job.route, settings))
 
         /** Null for an attempt that cannot be retried: it may take until the caller's deadline. */
         private fun timeoutMs(): Long? {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainPlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainPlacement.kt
@@ -16,6 +16,9 @@
 
     override val refusal = LocalResponse.NO_ENDPOINT
 
+    /** Requests that might outlast this process are refused when they arrive. */
+    override val outlastsProcess = false
+
     override suspend fun admit(isResumed: Boolean): Admission? = select()
 
     override suspend fun admitReplacement(waitMs: Long): Admission? = select()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/RunTimeEstimate.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/RunTimeEstimate.kt
@@ -19,6 +19,9 @@
 
     private val totalMs: Double get() = timeToFirstEventMs + job.call.traits.estimatedOutputTokens * DECODE_MS_PER_TOKEN
 
+    /** True if this process stops and might end before a run that starts now. */
+    val outlastsProcess: Boolean get() = job.outlastsProcess(totalMs)
+
     /**
      * An admission is useful only while a run that starts then can deliver its first event before the caller abandons the
      * stream and its last event before the deadline. If no such time is left, the request is refused at once, so that its
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -87,7 +87,7 @@
             val admittedAtMs = job.call.elapsedMs
             val choice = admission.choice
             val kvSource = if (shouldPrefill() && !isQuarantined()) placement.prefill(choice.endpoint) else null
-            if (isQuarantined()) return null.also { placement.release(admission) }
+            if (isQuarantined() || isTooLateToBegin()) return null.also { placement.release(admission) }
             val terms =
                 job
                     .terms(
@@ -99,6 +99,13 @@
             return outcome
         }
 
+        /** Asked after each wait for the same reason as at the arrival of the request: this process may be stopping by now. */
+        private fun isTooLateToBegin(): Boolean {
+            if (job.reply.hasStarted || !placement.outlastsProcess) return false
+            refusal = placement.refusal
+            return true
+        }
+
         /** Asked again after each wait, because engines may have crashed meanwhile. */
         private fun isQuarantined(): Boolean {
             quarantine = guard.findQuarantine(job)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamPlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamPlacement.kt
@@ -14,6 +14,9 @@
     /** Like [admit], for a run that makes no progress where it is; waits for [waitMs] at most. */
     suspend fun admitReplacement(waitMs: Long): Admission?
 
+    /** True if this process stops and might end before a run that starts now. */
+    val outlastsProcess: Boolean
+
     /** True if another endpoint could take over the run. */
     fun hasAlternative(): Boolean
 
