Bound what one response takes of the event loop

Cause: work on the only event loop was counted in units (events, chunks), which may be one byte long: an object and up to three strings for each event, a queue element for each chunk, and up to sixteen reads of 64 KB in one turn of the loop.

Change: EventSplitter scans bytes and passes complete events on as one block; PendingResponse joins what has arrived; a connection reads once, 16 KB at most, in each turn; 256 KB without an event with data end a stream.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
@@ -46,6 +46,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadQuota.allocator())
                 .childHandler(
                     object : ChannelInitializer<SocketChannel>() {
                         override fun initChannel(channel: SocketChannel) = accept(channel)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -25,7 +25,7 @@
         /** No event arrived within the pause timeout, and another engine has taken over. */
         PAUSED,
 
-        /** An event or the whole stream exceeds its size limit. */
+        /** An event, the bytes without an event with data, or the whole stream exceed their size limit. */
         TOO_LONG,
     }
 
@@ -43,9 +43,13 @@
     /** Time since arrival of the last event with data of the present attempt, or of its start. */
     private var lastProgressMs = 0L
 
+    /** Bytes of the present attempt after its last event with data. */
+    private var bytesSinceProgress = 0
+
     suspend fun relay(attempt: Attempt): End {
         val splitter = EventSplitter()
         var receivedBytes = 0
+        bytesSinceProgress = 0
         isContinuation = isContinuation || attemptEvents > 0
         attemptEvents = 0
         lastProgressMs = job.call.elapsedMs
@@ -54,10 +58,11 @@
             when (part) {
                 is ResponsePart.Data -> {
                     receivedBytes += part.bytes.size
+                    bytesSinceProgress += part.bytes.size
                     val events = splitter.add(part.bytes)
-                    if (isContinuation && events.any { !it.isWellFormed }) return End.MALFORMED
-                    deliver(events)
-                    if (splitter.partialEventBytes > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
+                    if (isContinuation && !events.isWellFormed) return End.MALFORMED
+                    deliver(events, splitter.partialEventBytes)
+                    if (bytesSinceProgress > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
                 }
                 is ResponsePart.Broken -> return if (part.isDisconnect) End.BROKEN else End.MALFORMED
                 is ResponsePart.End -> return end(part, splitter)
@@ -84,9 +89,8 @@
 
     private suspend fun complete(splitter: EventSplitter): End {
         if (attemptEvents > 0) onAnswering()
-        val rest = StreamEvent(splitter.takePartialEvent())
-        if (isContinuation && !rest.isWellFormed) return End.MALFORMED
-        if (rest.bytes.isNotEmpty()) job.reply.write(rest.bytes)
+        if (isContinuation && !splitter.isPartialEventWellFormed) return End.MALFORMED
+        if (splitter.hasPartialEvent) job.reply.write(splitter.takePartialEvent())
         job.reply.finish()
         return End.COMPLETE
     }
@@ -104,15 +108,19 @@
         }
     }
 
-    private suspend fun deliver(events: List<StreamEvent>) {
-        if (events.isEmpty()) return
+    private suspend fun deliver(
+        events: EventBlock,
+        partialEventBytes: Int,
+    ) {
+        if (events.bytes.isEmpty()) return
         job.record.recordWrite()
-        job.reply.write(EventSplitter.join(events))
-        events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
-        val dataEvents = events.count { it.hasData }
-        if (dataEvents > 0) lastProgressMs = job.call.elapsedMs
-        attemptEvents += dataEvents
-        if (dataEvents > 0 && attemptEvents >= PromptGuard.EVENTS_OF_A_BEGUN_RUN) onAnswering()
+        job.reply.write(events.bytes)
+        events.lastEventId?.let { lastEventId = it }
+        if (events.dataEvents == 0) return
+        lastProgressMs = job.call.elapsedMs
+        bytesSinceProgress = partialEventBytes
+        attemptEvents += events.dataEvents
+        if (attemptEvents >= PromptGuard.EVENTS_OF_A_BEGUN_RUN) onAnswering()
     }
 
     private companion object {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventSplitter.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventSplitter.kt
@@ -1,10 +1,9 @@
 package io.knapweedferry.routing.pipeline
 
-import java.io.ByteArrayOutputStream
-
 /**
- * Splits the bytes of a server-sent event stream into complete events. Incomplete events are held back, because an endpoint
- * may fail in the middle of an event and the endpoint that takes over sends that event again.
+ * Splits the bytes of a server-sent event stream after its complete events. An incomplete event is held back, because an
+ * endpoint may fail in the middle of an event and the endpoint that takes over sends that event again. The work for a part of
+ * the stream depends on its size only, even if it consists of very many tiny events.
  */
 internal class EventSplitter {
     private var buffer = ByteArray(INITIAL_BYTES)
@@ -13,31 +12,46 @@
     var partialEventBytes = 0
         private set
 
-    /** Offset in [buffer] of the line that is being scanned. */
+    /** Offset in [buffer] after the last line feed. */
     private var lineStart = 0
 
+    /** Offset in [buffer] after the last line feed or carriage return; either may end a line of an event. */
+    private var fieldStart = 0
+
+    private val partialEvent = EventScan()
+
     val hasPartialEvent: Boolean get() = partialEventBytes > 0
 
-    /** Appends [bytes] and returns the events that are now complete, in order. */
-    fun add(bytes: ByteArray): List<StreamEvent> {
+    /** True if the bytes after the last complete event may be the beginning of another one. */
+    val isPartialEventWellFormed: Boolean
+        get() = if (partialEventBytes > fieldStart) partialEvent.isWellFormedWith(buffer, fieldStart, partialEventBytes) else partialEvent.isWellFormed
+
+    /** Appends [bytes] and returns the events that are now complete. */
+    fun add(bytes: ByteArray): EventBlock {
         val scanned = partialEventBytes
         append(bytes)
-        val events = mutableListOf<StreamEvent>()
-        var start = 0
+        val complete = BlockScan()
         for (index in scanned until partialEventBytes) {
-            if (buffer[index] != LF) continue
-            if (isBlank(lineStart, index)) {
-                events += StreamEvent(buffer.copyOfRange(start, index + 1))
-                start = index + 1
+            val byte = buffer[index]
+            if (byte != LF && byte != CR) continue
+            if (index > fieldStart) partialEvent.addLine(buffer, fieldStart, index)
+            fieldStart = index + 1
+            if (byte != LF) continue
+            if (isBlankLine(index)) {
+                complete.add(partialEvent, end = index + 1)
+                partialEvent.clear()
             }
             lineStart = index + 1
         }
-        discard(start)
-        return events
+        return complete.toBlock(buffer).also { discard(complete.end) }
     }
 
     /** Removes and returns the bytes after the last complete event. */
-    fun takePartialEvent(): ByteArray = buffer.copyOf(partialEventBytes).also { discard(partialEventBytes) }
+    fun takePartialEvent(): ByteArray =
+        buffer.copyOf(partialEventBytes).also {
+            partialEvent.clear()
+            discard(partialEventBytes)
+        }
 
     private fun append(bytes: ByteArray) {
         val needed = partialEventBytes + bytes.size
@@ -51,22 +65,18 @@
         buffer.copyInto(buffer, 0, count, partialEventBytes)
         partialEventBytes -= count
         lineStart = maxOf(0, lineStart - count)
+        fieldStart = maxOf(0, fieldStart - count)
+        partialEvent.moveBack(count)
     }
 
-    private fun isBlank(
-        start: Int,
-        end: Int,
-    ): Boolean = end == start || (end == start + 1 && buffer[start] == CR)
+    /** True if the line that ends at the line feed at [index] is empty. */
+    private fun isBlankLine(index: Int): Boolean = index == lineStart || (index == lineStart + 1 && buffer[lineStart] == CR)
 
-    companion object {
-        private const val LF = '\n'.code.toByte()
-        private const val CR = '\r'.code.toByte()
+    private companion object {
+        const val LF = '\n'.code.toByte()
+        const val CR = '\r'.code.toByte()
 
         /** Larger than a typical event. */
-        private const val INITIAL_BYTES = 512
-
-        /** Concatenates the bytes of [events]. */
-        fun join(events: List<StreamEvent>): ByteArray =
-            ByteArrayOutputStream(events.sumOf { it.bytes.size }).also { out -> events.forEach { out.write(it.bytes) } }.toByteArray()
+        const val INITIAL_BYTES = 512
     }
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -8,6 +8,7 @@
 import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.netty.bootstrap.Bootstrap
+import io.knapweedferry.routing.http.ReadQuota
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
@@ -37,6 +38,7 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ReadQuota.allocator())
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/PendingResponse.kt
@@ -4,41 +4,45 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.selects.onTimeout
-import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
 
 /**
- * Response that a connection is receiving. [pauseReading] applies backpressure to the connection while the reader lags
- * behind, so that this process does not buffer a complete response for a slow caller. Confined to the event loop.
+ * Response that a connection is receiving. Bytes that arrive before the reader takes them are joined, so that the reader's work
+ * does not depend on the sizes in which they were sent. [pauseReading] applies backpressure to the connection while the reader
+ * lags behind, so that this process does not buffer a complete response for a slow caller. Confined to the event loop.
  */
 internal class PendingResponse(
     private val pauseReading: (Boolean) -> Unit,
 ) {
     private val head = CompletableDeferred<Either<AttemptFailure, ResponseHead>>()
-    private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
-    private var bufferedBytes = 0
+    private val received = ByteArrayOutputStream()
+
+    /** How the body ended; null while it goes on. */
+    private var last: ResponsePart? = null
+    private val arrivals = Channel<Unit>(Channel.CONFLATED)
     private var isPaused = false
 
     suspend fun head(): Either<AttemptFailure, ResponseHead> = head.await()
 
     /** Next part of the body. Must not be called again after [ResponsePart.End] or [ResponsePart.Broken]. */
-    suspend fun next(): ResponsePart = parts.receive().also(::onTaken)
-
-    /** Like [next], but null if no part arrives within [timeoutMs]. No part is lost then, unlike with a cancelled [next]. */
-    @OptIn(ExperimentalCoroutinesApi::class)
-    suspend fun nextWithin(timeoutMs: Long): ResponsePart? =
-        select {
-            parts.onReceive { it.also(::onTaken) }
-            onTimeout(timeoutMs) { null }
+    suspend fun next(): ResponsePart {
+        while (true) {
+            take()?.let { return it }
+            arrivals.receive()
         }
+    }
 
-    private fun onTaken(part: ResponsePart) {
-        if (part is ResponsePart.Data) {
-            bufferedBytes -= part.bytes.size
-            if (isPaused && bufferedBytes < RESUME_BELOW_BYTES) setPaused(false)
-        }
+    /** Like [next], but null if no part arrives within [timeoutMs]. */
+    suspend fun nextWithin(timeoutMs: Long): ResponsePart? = withTimeoutOrNull(timeoutMs) { next() }
+
+    private fun take(): ResponsePart? {
+        if (received.size() == 0) return last
+        val bytes = received.toByteArray()
+        received.reset()
+        if (isPaused) setPaused(false)
+        return ResponsePart.Data(bytes)
     }
 
     fun begin(responseHead: ResponseHead) {
@@ -46,14 +50,12 @@
     }
 
     fun add(bytes: ByteArray) {
-        bufferedBytes += bytes.size
-        parts.trySend(ResponsePart.Data(bytes))
-        if (!isPaused && bufferedBytes > PAUSE_ABOVE_BYTES) setPaused(true)
+        received.write(bytes)
+        arrivals.trySend(Unit)
+        if (!isPaused && received.size() > PAUSE_ABOVE_BYTES) setPaused(true)
     }
 
-    fun end(isDelimited: Boolean) {
-        parts.trySend(ResponsePart.End(isDelimited))
-    }
+    fun end(isDelimited: Boolean) = endWith(ResponsePart.End(isDelimited))
 
     /** [isDisconnect] if the connection was closed before the response was complete. */
     fun fail(
@@ -61,7 +63,12 @@
         isDisconnect: Boolean,
     ) {
         head.complete(AttemptFailure.NoResponse(detail, isDisconnect).left())
-        parts.trySend(ResponsePart.Broken(detail, isDisconnect))
+        endWith(ResponsePart.Broken(detail, isDisconnect))
+    }
+
+    private fun endWith(part: ResponsePart) {
+        last = part
+        arrivals.trySend(Unit)
     }
 
     private fun setPaused(value: Boolean) {
@@ -72,6 +79,5 @@
     private companion object {
         /** Limits the memory of a response whose caller reads slowly; far larger than one event or one typical response. */
         const val PAUSE_ABOVE_BYTES = 256 * 1024
-        const val RESUME_BELOW_BYTES = 64 * 1024
     }
 }
