--- a/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantineSpec.kt
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantineSpec.kt
@@ -9,8 +9,8 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TestTimeSource
 
 /** Guards against prompts that go on crashing engines, and against quarantining sound ones for accidental crashes. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventSplitter.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventSplitter.kt
@@ -24,7 +24,14 @@
 
     /** True if the bytes after the last complete event may be the beginning of another one. */
     val isPartialEventWellFormed: Boolean
-        get() = if (partialEventBytes > fieldStart) partialEvent.isWellFormedWith(buffer, fieldStart, partialEventBytes) else partialEvent.isWellFormed
+        get() =
+            if (partialEventBytes >
+                fieldStart
+            ) {
+                partialEvent.isWellFormedWith(buffer, fieldStart, partialEventBytes)
+            } else {
+                partialEvent.isWellFormed
+            }
 
     /** Appends [bytes] and returns the events that are now complete. */
     fun add(bytes: ByteArray): EventBlock {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -6,9 +6,9 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointAvailability
+import io.knapweedferry.routing.http.ReadQuota
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.netty.bootstrap.Bootstrap
-import io.knapweedferry.routing.http.ReadQuota
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
--- a/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/pipeline/EventSplitterSpec.kt
+++ b/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/pipeline/EventSplitterSpec.kt
@@ -55,7 +55,11 @@
         (1..form.text.length).forEach { size ->
             val splitter = EventSplitter()
             val areWellFormed = blocks(splitter, form.text, size).all { it.isWellFormed }
-            assertEquals(form.areEventsWellFormed to form.isRestWellFormed, areWellFormed to splitter.isPartialEventWellFormed, "chunks of $size bytes")
+            assertEquals(
+                form.areEventsWellFormed to form.isRestWellFormed,
+                areWellFormed to splitter.isPartialEventWellFormed,
+                "chunks of $size bytes",
+            )
         }
     }
 }
