--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerConnection.kt
@@ -171,9 +171,8 @@
             next.incoming.release()
             activeJob = null
             lastActivity = timeSource.markNow()
+            if (reply.isFinished) serveNext() else close()
         }
-        if (!reply.isFinished) return close()
-        serveNext()
     }
 
     private suspend fun awaitWritable() {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
@@ -135,9 +135,12 @@
         pendingReservations[ticket] = PendingReservation(choice.endpoint.id, timeSource.markNow())
         val tokens = ticket.tokensWithHeadroom(engine)
         scope.launch {
+            var admission: Admission? = null
             try {
-                onReservationResult(ticket, choice, reservations.reserve(ticket, choice, engine), tokens)
+                admission = reservations.reserve(ticket, choice, engine)
             } finally {
+                // An unexpected error counts as a refusal, so that the engine is not asked again at once.
+                onReservationResult(ticket, choice, admission, tokens)
                 pendingReservations.remove(ticket)
                 wakeSignal.trySend(Unit)
             }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -46,16 +46,31 @@
     ) {
         val view = views.current
         val record = CallRecord(call, view)
-        try {
-            val job = route(record, view, reply) ?: return
-            retryBudgets.of(job.service.name).recordRequest()
-            val isForwarded = withTimeoutOrNull(job.remainingMs) { forwardUntilStop(job) } ?: false
-            if (!isForwarded) expire(job)
-        } catch (cancelled: CancellationException) {
+        val error = runCatching { serve(record, view, reply) }.exceptionOrNull() ?: return
+        when {
             // The scope cancels a call only when the connection of its caller has closed.
-            recorder.recordCallerDisconnect(record)
-            throw cancelled
+            error is CancellationException -> recorder.recordCallerDisconnect(record)
+            !reply.hasStarted -> refuseAfterError(record, reply)
         }
+        throw error
+    }
+
+    private suspend fun serve(
+        record: CallRecord,
+        view: RoutingView,
+        reply: CallerReply,
+    ) {
+        val job = route(record, view, reply) ?: return
+        retryBudgets.of(job.service.name).recordRequest()
+        val isForwarded = withTimeoutOrNull(job.remainingMs) { forwardUntilStop(job) } ?: false
+        if (!isForwarded) expire(job)
+    }
+
+    private fun refuseAfterError(
+        record: CallRecord,
+        reply: CallerReply,
+    ) {
+        refuse(record, reply, if (record.mayHaveRun) LocalResponse.ANSWER_LOST else LocalResponse.INTERNAL_ERROR)
     }
 
     /** False if [endUnanswered] ended the request before its response began. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
@@ -26,6 +26,7 @@
     ENTRY_FULL(503, "entry_full", "repeat the request at another entry; it has not run"),
     ENTRY_STOPPING(503, "entry_stopping", "repeat the request at another entry; it has not run"),
     EXPIRED_UNSENT(503, "expired_unsent", "repeat the request with a longer deadline; it has not run"),
+    INTERNAL_ERROR(503, "internal_error", "repeat the request at another entry; it has not run"),
     TIMED_OUT(504, "timed_out", "find out whether the request took effect before repeating it"),
     ;
 
