Look at the list of endpoints again after a prefill

Cause: StreamForwarder did not look at the list again between the selection of the engine and the run.

Change: an engine that has left or drains by then is given up, and the request is admitted at another one.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EnginePlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EnginePlacement.kt
@@ -41,6 +41,8 @@
         return admissions.admit(ticket, engine, waitMs)?.also { tried += it.choice.endpoint.id }
     }
 
+    override fun isServing(endpoint: RoutedEndpoint) = candidates().any { it.id == endpoint.id }
+
     override fun hasAlternative() = candidates().any { it.stage == EndpointStage.DECODE && it.id !in tried }
 
     override fun release(admission: Admission) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainPlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainPlacement.kt
@@ -31,6 +31,8 @@
 
     private fun untried() = candidates().filterNot { it.id in tried }
 
+    override fun isServing(endpoint: RoutedEndpoint) = candidates().any { it.id == endpoint.id }
+
     override fun hasAlternative() = untried().isNotEmpty()
 
     override fun release(admission: Admission) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -88,6 +88,7 @@
             val choice = admission.choice
             val kvSource = if (shouldPrefill() && !isQuarantined()) placement.prefill(choice.endpoint) else null
             if (isQuarantined() || isTooLateToBegin()) return null.also { placement.release(admission) }
+            if (!placement.isServing(choice.endpoint)) return Outcome.NotSent.also { placement.release(admission) }
             val terms =
                 job
                     .terms(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamPlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamPlacement.kt
@@ -17,6 +17,9 @@
     /** True if this process stops and might end before a run that starts now. */
     val outlastsProcess: Boolean
 
+    /** False if [endpoint] has left or begun to drain since it was selected. */
+    fun isServing(endpoint: RoutedEndpoint): Boolean
+
     /** True if another endpoint could take over the run. */
     fun hasAlternative(): Boolean
 
