--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantine.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/quarantine/PromptQuarantine.kt
@@ -12,9 +12,10 @@
  * When an engine crashes, all requests that it was running are suspects, however far their answers had got. Prompt parts are
  * suspected together: a prompt is quarantined if it contains everything that the suspects of at least [MIN_CRASHES] crashes
  * have in common, each of these under a request that was sent after the crash before, and if other prompts were answered
- * meanwhile. Engines that crash at the same moment show nothing about the requests that they all were running. A part is cleared when an engine completes a prompt that
- * contains it, so parts that sound requests share with the crashing ones stay usable. Crashes that hit requests by chance have
- * no part in common that was not completed before or after. An engine that answers again at once has not crashed.
+ * meanwhile. Engines that crash at the same moment show nothing about the requests that they all were running. A part is
+ * cleared when an engine completes a prompt that contains it, so parts that sound requests share with the crashing ones stay
+ * usable. Crashes that hit requests by chance have no part in common that was not completed before or after. An engine that
+ * answers again at once has not crashed.
  *
  * A quarantine ends after a time without a further crash; the time doubles with each crash that follows. No I/O; confined to
  * one thread.
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -82,8 +82,8 @@
         val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
         val prefill = PrefillRunner(client, selector, retryBudgets, protocol, settings.forwarding)
         val placements = StreamPlacements(admissions, prefill, selector, settings.forwarding)
-        val stream = StreamForwarder(client, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
-        return CallPipeline(views, plain, stream, placements, retryBudgets, availability, protocol, recorder)
+        val stream = StreamForwarder(client, placements, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
+        return CallPipeline(views, plain, stream, retryBudgets, availability, protocol, recorder)
     }
 
     /** Starts the listeners for callers and operators. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -23,7 +23,6 @@
     private val views: RoutingViewHolder,
     private val plain: PlainForwarder,
     private val stream: StreamForwarder,
-    private val placements: StreamPlacements,
     private val retryBudgets: RetryBudgets,
     private val availability: EndpointAvailability,
     private val protocol: UpstreamProtocol,
@@ -136,7 +135,7 @@
         if (!isModelRequest && job.route.kind != RouteKind.STREAM) return plain.forward(job, candidates)
         if (isModelRequest) runningModelRequests++
         try {
-            stream.forward(job, placements.of(job, candidates))
+            stream.forward(job, candidates)
         } finally {
             if (isModelRequest) runningModelRequests--
         }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventScan.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventScan.kt
@@ -32,7 +32,7 @@
         idEnd = end
     }
 
-    /** [isWellFormed] with a further line that has not ended yet. */
+    /** [isWellFormed] with a further line that has not ended yet and may be empty. */
     fun isWellFormedWith(
         buffer: ByteArray,
         start: Int,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventSplitter.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventSplitter.kt
@@ -24,14 +24,7 @@
 
     /** True if the bytes after the last complete event may be the beginning of another one. */
     val isPartialEventWellFormed: Boolean
-        get() =
-            if (partialEventBytes >
-                fieldStart
-            ) {
-                partialEvent.isWellFormedWith(buffer, fieldStart, partialEventBytes)
-            } else {
-                partialEvent.isWellFormed
-            }
+        get() = partialEvent.isWellFormedWith(buffer, fieldStart, partialEventBytes)
 
     /** Appends [bytes] and returns the events that are now complete. */
     fun add(bytes: ByteArray): EventBlock {
@@ -39,20 +32,26 @@
         append(bytes)
         val complete = BlockScan()
         for (index in scanned until partialEventBytes) {
-            val byte = buffer[index]
-            if (byte != LF && byte != CR) continue
-            if (index > fieldStart) partialEvent.addLine(buffer, fieldStart, index)
-            fieldStart = index + 1
-            if (byte != LF) continue
-            if (isBlankLine(index)) {
-                complete.add(partialEvent, end = index + 1)
-                partialEvent.clear()
-            }
-            lineStart = index + 1
+            if (buffer[index] == LF || buffer[index] == CR) endLine(index, complete)
         }
         return complete.toBlock(buffer).also { discard(complete.end) }
     }
 
+    /** Handles the line end at [index]; a blank line also ends an event, which is added to [complete]. */
+    private fun endLine(
+        index: Int,
+        complete: BlockScan,
+    ) {
+        if (index > fieldStart) partialEvent.addLine(buffer, fieldStart, index)
+        fieldStart = index + 1
+        if (buffer[index] != LF) return
+        if (isBlankLine(index)) {
+            complete.add(partialEvent, end = index + 1)
+            partialEvent.clear()
+        }
+        lineStart = index + 1
+    }
+
     /** Removes and returns the bytes after the last complete event. */
     fun takePartialEvent(): ByteArray =
         buffer.copyOf(partialEventBytes).also {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -19,17 +19,18 @@
  */
 internal class StreamForwarder(
     private val client: EndpointClient,
+    private val placements: StreamPlacements,
     private val selector: EndpointSelector,
     private val retryBudgets: RetryBudgets,
     private val protocol: UpstreamProtocol,
     private val guard: PromptGuard,
     private val settings: ForwardingSettings,
 ) {
-    /** Forwards the request of [job] to the endpoints that [placement] selects. */
+    /** Forwards the request of [job]; [candidates] is evaluated for each attempt. */
     suspend fun forward(
         job: ForwardingJob,
-        placement: StreamPlacement,
-    ) = Execution(job, placement).execute()
+        candidates: () -> List<RoutedEndpoint>,
+    ) = Execution(job, placements.of(job, candidates)).execute()
 
     private inner class Execution(
         private val job: ForwardingJob,
