Give the reservation back when a request ends before its run is sent

What callers saw: nothing directly; other requests were refused for want of KV cache that was reserved for up to 2 s without use.

Cause: only three early returns of StreamForwarder.attempt gave a reservation back. A caller that disconnects, a deadline, the stop of the entry and an unexpected error end the coroutine in the middle of the prefill and pass none of them; a failed connection neither.

Change: prepareAndOpen gives the reservation back unless the request has been sent, whatever ends it.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EnginePlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EnginePlacement.kt
@@ -47,9 +47,11 @@
 
     override fun release(admission: Admission) {
         tried -= admission.choice.endpoint.id
-        admissions.release(admission)
+        discard(admission)
     }
 
+    override fun discard(admission: Admission) = admissions.release(admission)
+
     override suspend fun prefill(runEndpoint: RoutedEndpoint): KvSourceRef? = prefillRunner.run(job, engine, candidates(), runEndpoint)
 
     override fun runOptions(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainPlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainPlacement.kt
@@ -39,6 +39,8 @@
         tried -= admission.choice.endpoint.id
     }
 
+    override fun discard(admission: Admission) = Unit
+
     override suspend fun prefill(runEndpoint: RoutedEndpoint): KvSourceRef? = null
 
     override fun runOptions(
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -2,10 +2,10 @@
 
 import arrow.core.Either
 import arrow.core.getOrElse
+import arrow.core.left
 import io.knapweedferry.policy.quarantine.QuarantineReason
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.UpstreamProtocol
-import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
 import io.knapweedferry.routing.model.RoutedEndpoint
@@ -86,21 +86,32 @@
             }
             record.recordStep("admitted")
             val admittedAtMs = job.call.elapsedMs
-            val choice = admission.choice
-            val kvSource = if (shouldPrefill() && !isQuarantined()) placement.prefill(choice.endpoint) else null
-            if (isQuarantined() || isTooLateToBegin()) return null.also { placement.release(admission) }
-            if (!placement.isServing(choice.endpoint)) return Outcome.NotSent.also { placement.release(admission) }
-            val terms =
-                job
-                    .terms(
-                        choice.endpoint,
-                    ).copy(kvSource = kvSource, reservation = admission.reservation, lastEventId = relay.lastEventId)
-            val opened = client.open(record, choice, terms, placement.runOptions(choice.endpoint, kvSource != null))
-            val outcome = opened.fold({ onFailure(choice.endpoint, it, runMs = 0) }, { attempt -> receive(choice, attempt, terms) })
+            val outcome = prepareAndOpen(admission)?.fold({ onFailure(admission.choice.endpoint, it, runMs = 0) }, { receive(it) })
             if (outcome == Outcome.Completed) placement.recordCompletedRun(job.call.elapsedMs - admittedAtMs)
             return outcome
         }
 
+        /**
+         * Has the prompt processed and sends the request to the engine of [admission]; null if it must not be sent any more. The
+         * reservation is given back unless the request has been sent, also if the request ends meanwhile.
+         */
+        private suspend fun prepareAndOpen(admission: Admission): Either<AttemptFailure, Run>? {
+            var isSent = false
+            try {
+                val endpoint = admission.choice.endpoint
+                val kvSource = if (shouldPrefill && !isQuarantined()) placement.prefill(endpoint) else null
+                if (isQuarantined() || isTooLateToBegin()) return null
+                if (!placement.isServing(endpoint)) return AttemptFailure.NotSent("the endpoint has left or begun to drain").left()
+                val terms =
+                    job.terms(endpoint).copy(kvSource = kvSource, reservation = admission.reservation, lastEventId = relay.lastEventId)
+                val opened = client.open(record, admission.choice, terms, placement.runOptions(endpoint, kvSource != null))
+                isSent = opened.isRight()
+                return opened.map { Run(it, terms) }
+            } finally {
+                if (!isSent) placement.discard(admission)
+            }
+        }
+
         /** Asked after each wait for the same reason as at the arrival of the request: this process may be stopping by now. */
         private fun isTooLateToBegin(): Boolean {
             if (job.reply.hasStarted || !placement.outlastsProcess) return false
@@ -129,17 +140,13 @@
             return true
         }
 
-        private fun shouldPrefill() = relay.lastEventId == null && record.sentCount == 0
+        private val shouldPrefill get() = relay.lastEventId == null && record.sentCount == 0
 
-        private suspend fun receive(
-            choice: EndpointChoice,
-            attempt: Attempt,
-            terms: AttemptTerms,
-        ): Outcome =
+        private suspend fun receive(run: Run): Outcome =
             try {
-                attempt.use { receive(it, terms) }
+                run.attempt.use { receive(it, run.terms) }
             } finally {
-                placement.onRunEnded(choice.endpoint)
+                placement.onRunEnded(run.attempt.endpoint)
             }
 
         private suspend fun receive(
@@ -257,6 +264,12 @@
         }
     }
 
+    /** A request that was sent to an engine. */
+    private class Run(
+        val attempt: Attempt,
+        val terms: AttemptTerms,
+    )
+
     private sealed interface Outcome {
         data object Completed : Outcome
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamPlacement.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamPlacement.kt
@@ -23,9 +23,12 @@
     /** True if another endpoint could take over the run. */
     fun hasAlternative(): Boolean
 
-    /** Gives back an admission that is not used. */
+    /** Gives back an admission that is not used; its endpoint may be selected again. */
     fun release(admission: Admission)
 
+    /** Gives back the reservation of an admission that is not used; its endpoint is not selected again. */
+    fun discard(admission: Admission)
+
     /** Has the prompt processed elsewhere before the run at [runEndpoint]; null if that endpoint does it itself. */
     suspend fun prefill(runEndpoint: RoutedEndpoint): KvSourceRef?
 
