Close the connection when a request to an endpoint can't be written

Cause: an exception between the connection and the write left it with nobody to close it.

Change: EndpointClient closes the connection if the request is not written.

Evidence: UnexpectedErrorSpec, "leaves no connection to the endpoint open", on: 5 connections open after 5 requests, plain and model; 0 now. The case with a reservation passed before, because its request is built before the connection.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -16,6 +16,7 @@
 import io.knapweedferry.routing.upstream.EndpointConnection
 import io.knapweedferry.routing.upstream.EndpointPool
 import io.knapweedferry.routing.upstream.OutboundRequest
+import io.knapweedferry.routing.upstream.PendingResponse
 import io.knapweedferry.routing.upstream.ResponseMemory
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -66,7 +67,7 @@
                     val remainingMs = terms.remainingMs - connecting.elapsedNow().inWholeMilliseconds
                     if (remainingMs <= 0) return@flatMap notSent(connection, "the deadline has passed")
                     if (!availability.accepts(endpoint)) return@flatMap notSent(connection, NOT_ACCEPTING)
-                    val response = connection.send(outboundRequest(record.call, endpoint, terms.copy(remainingMs = remainingMs)))
+                    val response = connection.sendOrClose { outboundRequest(record.call, endpoint, terms.copy(remainingMs = remainingMs)) }
                     record.recordSent(choice, terms)
                     isOpen = true
                     Attempt(endpoint, inFlight, tracker, connection, response, protocol, timeSource.markNow()).right()
@@ -123,7 +124,7 @@
         }
         return pool.acquire(endpoint, Long.MAX_VALUE).flatMap { connection ->
             if (!isPermitted()) return@flatMap notSent(connection, "the permission to send it has expired")
-            val response = connection.send(OutboundRequest(request.method, request.target, headers, request.body, null))
+            val response = connection.sendOrClose { OutboundRequest(request.method, request.target, headers, request.body, null) }
             try {
                 response.head().flatMap { head ->
                     BodyReader.read(BodyReader.MAX_SHORT_BODY_BYTES, response::next).map { BufferedResponse(head.status, head.headers, it) }
@@ -134,6 +135,16 @@
         }
     }
 
+    /** An unexpected error while the request is built or written leaves nobody else who would close the connection. */
+    private inline fun EndpointConnection.sendOrClose(request: () -> OutboundRequest): PendingResponse {
+        var isSent = false
+        try {
+            return send(request()).also { isSent = true }
+        } finally {
+            if (!isSent) close()
+        }
+    }
+
     private fun notSent(
         connection: EndpointConnection,
         detail: String,
