Don't resume a stream after an event whose id no header may contain

Cause: the id of the last event, another program's value, is sent on as Last-Event-Id; control characters are refused there.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -35,6 +35,10 @@
     var lastEventId = job.call.traits.lastEventId
         private set
 
+    /** False once the caller has received an event after which no engine can be asked to go on, because no header may contain its id. */
+    var isResumable = true
+        private set
+
     /** Number of events with data that the present attempt has delivered. */
     var attemptEvents = 0
         private set
@@ -117,7 +121,10 @@
         if (events.bytes.isEmpty()) return
         job.record.recordWrite()
         job.reply.write(events.bytes)
-        events.lastEventId?.let { lastEventId = it }
+        events.lastEventId?.let {
+            lastEventId = it
+            isResumable = it.none(Char::isISOControl)
+        }
         if (events.dataEvents == 0) return
         lastProgressMs = job.call.elapsedMs
         bytesSinceProgress = partialEventBytes
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -235,16 +235,18 @@
                 EventRelay.End.PAUSED -> Outcome.Replaced("pause_too_long")
             }
 
+        private val isResumable get() = job.route.isResumable && relay.isResumable
+
         /** True if another engine can take over the run. */
         private fun canFailOver(): Boolean =
-            job.route.isResumable &&
+            isResumable &&
                 record.sentCount < job.route.maxAttempts &&
                 retryBudget.available() > 0 &&
                 placement.hasAlternative()
 
         private fun mayRetry(outcome: Outcome.Retryable): Boolean {
             val attemptMayHaveRun = outcome.refusal != LocalResponse.ENDPOINTS_FULL
-            if (attemptMayHaveRun && !job.route.isResumable) return false
+            if (attemptMayHaveRun && !isResumable) return false
             return record.sentCount < job.route.maxAttempts && retryBudget.tryRetry()
         }
 
