Write Retry-After with a decimal point whatever the locale

Cause: the time was formatted in the language of the machine, which reaches the process through LANG. With de-DE callers got "0,150".

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.util.Locale
 
 /** Writes one response to a caller's connection. Confined to the event loop. */
 internal class NettyReply(
@@ -52,7 +53,7 @@
     ) {
         val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, PROBLEM_TYPE)
         requestIdHeader?.let { (name, value) -> headers.set(name, value) }
-        retryAfterMs?.let { headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it / MS_PER_SECOND)) }
+        retryAfterMs?.let { headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(Locale.ROOT, it / MS_PER_SECOND)) }
         val body = """{"title":"${response.reason}","status":${response.status},"detail":"${response.remedy}"}"""
         deliver(response.status, headers, body.encodeToByteArray())
     }
