Refuse requests that no engine can hold on arrival

What callers saw: a request whose declared size exceeds the memory of an engine waited for 3 s and was then told to repeat it (503). Requests of just the size of an engine were never admitted.

Cause: the admission queue waits for a reservation that no engine can grant, and adds headroom to one that needs the whole engine.

Without reservations only the engine decides, as before.

Ruled out: a negative sum that blocks other requests; such requests were refused at once.

--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/CallTraits.kt
@@ -20,7 +20,7 @@
     val sharedPromptParts: List<PromptPartId> = emptyList(),
 ) {
     /** Estimated output length: the caller's estimate, or the maximum if there is none. */
-    val estimatedOutputTokens: Int get() = minOf(expectedOutputTokens ?: maxOutputTokens, maxOutputTokens)
+    val estimatedOutputTokens: Int get() = (expectedOutputTokens ?: maxOutputTokens).coerceIn(0, maxOutputTokens)
 
     /**
      * Tokens of KV cache to reserve for the run. They remain reserved until the run has filled them or has ended. A run that
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionTicket.kt
@@ -61,7 +61,7 @@
     val fillOrder: FillOrder get() = if (isResumed || job.route.priority == 0) FillOrder.FROM_BACK else FillOrder.FROM_FRONT
 
     /** Size of the reservation that the engine holds for the whole run. */
-    val reservedTokens: Int get() = job.call.traits.kvTokens
+    val reservedTokens: Int get() = job.kvTokens
 
     /**
      * KV cache of [engine] that must be free in addition to the reservation and remains unreserved: for runs that grow beyond
@@ -75,8 +75,11 @@
         return (growth + maxOf(0.0, engine.kvCapacityTokens * headroomShare - excess)).toInt()
     }
 
-    /** Reservation and headroom together. */
-    fun tokensWithHeadroom(engine: EngineProfile): Int = reservedTokens + headroomTokens(engine)
+    /** Reservation and headroom together, as far as an engine without other runs can grant them. */
+    fun tokensWithHeadroom(engine: EngineProfile): Int {
+        val tokens = reservedTokens + headroomTokens(engine)
+        return if (engine.kvCapacityTokens > 0) minOf(tokens, engine.kvCapacityTokens) else tokens
+    }
 
     private val headroomShare: Double
         get() =
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -130,6 +130,7 @@
     private suspend fun forward(job: ForwardingJob) {
         // Evaluated for each attempt, so that an endpoint that started to drain meanwhile gets no retry.
         val candidates = { views.current.serving(job.service.name).filter(availability::accepts) }
+        if (!job.fitsEngine) return job.refuse(LocalResponse.TOO_MANY_TOKENS)
         if (refuseIfNoneAccepts(job)) return
         val isModelRequest = job.service.engine != null
         if (!isModelRequest && job.route.kind != RouteKind.STREAM) return plain.forward(job, candidates)
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -38,6 +38,16 @@
      */
     val isLikelyRetry: Boolean get() = (call.traits.deadlineMs ?: Long.MAX_VALUE) < route.timeoutMs * FIRST_DEADLINE_SHARE
 
+    /** False if the request needs more KV cache than an engine of the service can reserve, so that none can ever run it. */
+    val fitsEngine: Boolean get() = call.traits.promptTokens + call.traits.estimatedOutputTokens <= engineCapacityTokens
+
+    /** KV cache to reserve for the run; an engine without other runs can always grant it. */
+    val kvTokens: Int get() = min(call.traits.kvTokens, engineCapacityTokens)
+
+    /** Without reservations only the engine itself decides what it can run. */
+    private val engineCapacityTokens: Int
+        get() = service.engine?.takeIf { it.maxReservationMs != null && it.kvCapacityTokens > 0 }?.kvCapacityTokens ?: Int.MAX_VALUE
+
     /** True if an engine that starts now can still deliver the first event within the route's target latency. */
     fun canMeetTarget(timeToFirstEventMs: Double): Boolean = call.elapsedMs + timeToFirstEventMs < route.targetLatencyMs
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/LocalResponse.kt
@@ -12,6 +12,7 @@
     NO_ROUTE(404, "no_route", "use a host and path that the configuration names"),
     HEADER_TIMEOUT(408, "header_timeout", "send the whole request sooner"),
     BODY_TOO_LARGE(413, "body_too_large", "send a smaller body"),
+    TOO_MANY_TOKENS(413, "too_many_tokens", "shorten the prompt or the output; no engine of the service can hold them"),
     HEADER_TOO_LARGE(431, "header_too_large", "send fewer or shorter headers"),
     ANSWER_LOST(502, "answer_lost", "find out whether the request took effect before repeating it"),
     NOT_READY(503, "not_ready", "repeat the request; this entry has no configuration yet"),
