Don't let a stream of the chat entry look complete after an unexpected error

What callers would see: a stream whose handling failed ended with its last chunk, as if it were complete; before the response began they got a plain "Server Error" without an outcome. Nothing was logged as an event.

Cause: the HTTP server ends the response in an orderly way after an exception of a handler.

Change: handlers are wrapped. Before the response has begun the caller gets problem details (500, internal_error, outcome unknown); afterwards the connection is closed.

--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/Entry.kt
@@ -101,6 +101,7 @@
             observerFactory = RequestObserverFactory(audit, metrics, events, TimeSource.Monotonic),
             metrics = metrics,
             operatorRoutes = operatorRoutes(),
+            events = events,
         )
     private val server = components.server()
 
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryComponents.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/EntryComponents.kt
@@ -10,6 +10,7 @@
 import io.knapweedferry.entry.http.ModelsRoute
 import io.knapweedferry.entry.http.RouteGroup
 import io.knapweedferry.entry.http.ServiceRoute
+import io.knapweedferry.entry.http.UnexpectedErrorHandler
 import io.knapweedferry.entry.observe.RequestObserverFactory
 import io.knapweedferry.entry.pipeline.Authenticator
 import io.knapweedferry.entry.pipeline.BudgetedRetryLimiter
@@ -30,6 +31,7 @@
 import io.knapweedferry.policy.placement.PlacementPolicy
 import io.knapweedferry.policy.placement.RandomPlacement
 import io.knapweedferry.policy.placement.ScoredPlacement
+import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.RouterMetrics
 import java.time.InstantSource
 import kotlin.random.Random
@@ -42,6 +44,7 @@
     private val observerFactory: RequestObserverFactory,
     private val metrics: RouterMetrics,
     private val operatorRoutes: RouteGroup,
+    private val events: EventLog,
 ) {
     private val sessions = connections.sessions
     private val follower = connections.follower
@@ -58,7 +61,12 @@
     fun server(): EntryServer =
         EntryServer(
             settings = settings.http,
-            routes = listOf(CallerRoutes(chatRoute(), serviceRoute(), ModelsRoute(follower, authenticator)), operatorRoutes),
+            routes =
+                listOf(
+                    CallerRoutes(chatRoute(), serviceRoute(), ModelsRoute(follower, authenticator)),
+                    operatorRoutes,
+                    UnexpectedErrorHandler(events),
+                ),
             isReady = { follower.current() != null && fleet.isLoaded && !inFlightLimit.isClosed },
             isStopping = { inFlightLimit.isClosed },
             scrapeMetrics = metrics::scrape,
--- a/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ProblemDetail.kt
+++ b/knapweedferry-entry/src/main/kotlin/io/knapweedferry/entry/http/ProblemDetail.kt
@@ -21,6 +21,7 @@
 ) {
     companion object {
         private const val TYPE_PREFIX = "urn:knapweedferry:problem:"
+        private const val STATUS_INTERNAL_ERROR = 500
         private const val STATUS_FAILED = 502
         private const val STATUS_UNKNOWN = 504
 
@@ -38,6 +39,18 @@
             retryAfterMs = refusal.retryAfterMs,
         )
 
+        /** For a request whose handling ended with an unexpected error. */
+        fun unexpectedError(requestId: String) =
+            ProblemDetail(
+                type = TYPE_PREFIX + "internal_error",
+                code = "internal_error",
+                title = "internal error",
+                status = STATUS_INTERNAL_ERROR,
+                detail = "the request ended with an unexpected error; find out whether it took effect before repeating it",
+                requestId = requestId,
+                outcome = "unknown",
+            )
+
         /** Returns null if [outcome] is an answer. */
         fun of(
             outcome: Outcome,
