Don't try an engine again at once that refused a run, even if all are avoided

What callers saw: while all engines of a service were avoided, requests were sent one after another to an engine that grants reservations and refuses the runs; each lost an attempt.

Cause: EndpointSelector.withoutAvoided returned all candidates when every one was avoided, also those that had just refused a run.

Change: the engines that refused a run within the last second stay out; a longer avoidance, which grows up to 8 s, doesn't count there, so that an engine that is the only one is tried once a second.

--- a/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/EndpointHealth.kt
+++ b/knapweedferry-policy/src/main/kotlin/io/knapweedferry/policy/routing/EndpointHealth.kt
@@ -22,6 +22,7 @@
     private var consecutiveRefusals = 0
     private var avoidedSince: TimeMark? = null
     private var avoidDurationMs = 0L
+    private var runRefusedAt: TimeMark? = null
 
     /** Decaying average of failed requests, from 0 to 1. */
     public fun failureRate(): Double = failureRate * decay()
@@ -32,6 +33,9 @@
     /** Whether the endpoint was recently found unusable and its avoidance time has not ended. */
     public fun isAvoided(): Boolean = avoidedSince?.let { it.elapsedNow().inWholeMilliseconds < avoidDurationMs } ?: false
 
+    /** Whether the endpoint refused a run so recently that it must not be tried, even if there is no other endpoint. */
+    public fun hasRefusedRun(): Boolean = runRefusedAt?.let { it.elapsedNow().inWholeMilliseconds < REFUSED_BASE_AVOID_MS } ?: false
+
     /** Records a response after [elapsedMs] where [expectedMs] was expected, and ends any avoidance. */
     public fun recordResponse(
         elapsedMs: Long,
@@ -43,6 +47,7 @@
         consecutiveUnreachable = 0
         consecutiveRefusals = 0
         avoidedSince = null
+        runRefusedAt = null
     }
 
     /** Records a request that failed at the endpoint. */
@@ -63,7 +68,9 @@
      */
     public fun recordRunRefused(isCertain: Boolean) {
         consecutiveRefusals = min(consecutiveRefusals + 1, MAX_COUNTED_FAILURES)
-        if (isCertain || consecutiveRefusals > 1) avoidFor(REFUSED_BASE_AVOID_MS shl (consecutiveRefusals - 1))
+        if (!isCertain && consecutiveRefusals == 1) return
+        avoidFor(REFUSED_BASE_AVOID_MS shl (consecutiveRefusals - 1))
+        runRefusedAt = timeSource.markNow()
     }
 
     /** Records that the endpoint was ordered to change its stage. */
--- a/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/EndpointHealthSpec.kt
+++ b/knapweedferry-policy/src/test/kotlin/io/knapweedferry/policy/routing/EndpointHealthSpec.kt
@@ -48,6 +48,24 @@
         assertFalse(health.isAvoided())
     }
 
+    /** Guards against an engine that is tried again without a pause because all the others are avoided too. */
+    @Test
+    fun `an endpoint that refused a run is not tried for a second, whatever makes it avoided for longer`() {
+        health.recordUnreachable()
+        assertFalse(health.hasRefusedRun())
+        health.recordRunRefused(isCertain = false)
+        assertFalse(health.hasRefusedRun())
+        repeat(5) { health.recordRunRefused(isCertain = true) }
+        time += 999.milliseconds
+        assertTrue(health.hasRefusedRun())
+        time += 1.milliseconds
+        assertFalse(health.hasRefusedRun())
+        assertTrue(health.isAvoided())
+        health.recordRunRefused(isCertain = true)
+        health.recordResponse(10, 10.0)
+        assertFalse(health.hasRefusedRun())
+    }
+
     /** Guards against a second fault that shortens a longer avoidance time. */
     @Test
     fun `a replaced endpoint stays avoided when it is unreachable as well`() {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointSelector.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointSelector.kt
@@ -29,9 +29,14 @@
         trackers.entries.removeIf { it.key !in known && it.value.isIdle }
     }
 
-    /** Candidates that are not currently avoided, or all of them if every one is avoided. */
+    /**
+     * Candidates that are not currently avoided. If every one is avoided, those that may still be tried: all but the ones that
+     * have just refused a run, because each further refusal would cost its request an attempt.
+     */
     fun withoutAvoided(candidates: List<RoutedEndpoint>): List<RoutedEndpoint> =
-        candidates.filterNot { tracker(it.id).health.isAvoided() }.ifEmpty { candidates }
+        candidates
+            .filterNot { tracker(it.id).health.isAvoided() }
+            .ifEmpty { candidates.filterNot { tracker(it.id).health.hasRefusedRun() } }
 
     fun selectPlain(candidates: List<RoutedEndpoint>): EndpointChoice? =
         cheapest(candidates) { EndpointCost.plain(condition(it, 0), PLAIN_SERVICE_TIME_MS) }
