--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
@@ -78,7 +78,7 @@
     }
 
     /** Stops accepting connections; those in the queue are still served. Must be called on the event loop. */
-    fun stopAccepting() {
+    suspend fun stopAccepting() {
         server?.acceptQueuedAndClose()
     }
 
