--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -8,6 +8,7 @@
 import io.knapweedferry.routing.fleet.StageBalancer
 import io.knapweedferry.routing.fleet.StageDemands
 import io.knapweedferry.routing.fleet.StageLease
+import io.knapweedferry.routing.fleet.SurplusResponses
 import io.knapweedferry.routing.http.CallerListener
 import io.knapweedferry.routing.model.RoutingViewHolder
 import io.knapweedferry.routing.ops.OperationsServer
@@ -60,7 +61,7 @@
         CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
     private val scope = CoroutineScope(SupervisorJob() + loop + exceptionHandler)
     private val availability = EndpointAvailability(events)
-    private val pool = EndpointPool(group, protocol, availability)
+    private val pool = EndpointPool(group, protocol, availability, SurplusResponses(events, metrics))
     private val selector = EndpointSelector(settings.zone, events, TimeSource.Monotonic)
     private val retryBudgets = RetryBudgets(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
     private val stageDemands = StageDemands()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -2,6 +2,7 @@
 
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.telemetry.SurplusKind
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.net.InetSocketAddress
 import kotlin.time.TimeSource
 
 /**
@@ -43,8 +45,8 @@
     /** True if a length or chunks mark the end of the present response. */
     private var isDelimited = false
 
-    /** True once a response has arrived, so that a later one may be a copy of it. */
-    private var hasCarriedResponse = false
+    /** Number of responses that have arrived; a later one may be a copy of one of them. */
+    private var responses = 0
     private var idleSince = timeSource.markNow()
 
     /** Idle time after which the endpoint may close the connection. */
@@ -104,7 +106,7 @@
     }
 
     private fun receiveHead(response: HttpResponse) {
-        val pendingResponse = pending ?: return failConnection("response without a request")
+        val pendingResponse = pending ?: return failUnrequested(response)
         if (isForPendingRequest(response)) observer.onHead(this, response)
         if (HttpStatusClass.INFORMATIONAL.contains(response.status().code())) {
             isSkippingResponse = true
@@ -112,7 +114,8 @@
             return
         }
         isSkippingResponse = !isForPendingRequest(response)
-        hasCarriedResponse = true
+        if (isSkippingResponse) reportSurplus(if (answeredId(response) == null) SurplusKind.UNNAMED else SurplusKind.OTHER_REQUEST, response)
+        responses++
         if (!isReusableAfter(response)) isReusable = false
         if (isSkippingResponse) return
         isDelimited = hasLength(response)
@@ -123,14 +126,16 @@
 
     /** A response without an id can be attributed to the pending request only if it is the first one on the connection. */
     private fun isForPendingRequest(response: HttpResponse): Boolean {
-        val answered = protocol.answeredRequestId(response.headers()) ?: return requestId == null || !hasCarriedResponse
+        val answered = answeredId(response) ?: return requestId == null || responses == 0
         return answered == requestId
     }
 
+    private fun answeredId(response: HttpResponse) = protocol.answeredRequestId(response.headers())
+
     private fun isReusableAfter(response: HttpResponse): Boolean {
         if (isSkippingResponse || !HttpUtil.isKeepAlive(response) || !hasLength(response)) return false
         if (requestId == null) return true
-        return protocol.answeredRequestId(response.headers()) != null &&
+        return answeredId(response) != null &&
             !protocol.provesNotRun(response.status().code(), response.headers())
     }
 
@@ -161,8 +166,32 @@
         if (isReusable) observer.onReusable(this) else context.close()
     }
 
-    private fun failMalformed(cause: Throwable?) =
+    private fun failUnrequested(response: HttpResponse) {
+        reportSurplus(SurplusKind.UNREQUESTED, response)
+        failConnection("response without a request")
+    }
+
+    private fun reportSurplus(
+        kind: SurplusKind,
+        response: HttpResponse?,
+    ) {
+        val surplus =
+            SurplusResponse(
+                kind = kind,
+                status = response?.status()?.code(),
+                answeredRequestId = response?.let(::answeredId),
+                pendingRequestId = requestId.takeIf { pending != null },
+                localPort = (context.channel().localAddress() as? InetSocketAddress)?.port ?: 0,
+                earlierResponses = responses,
+                sinceLastResponseMs = idleMs.takeIf { responses > 0 },
+            )
+        observer.onSurplus(this, surplus)
+    }
+
+    private fun failMalformed(cause: Throwable?) {
+        if (pending == null && cause !is PrematureChannelClosureException) reportSurplus(SurplusKind.UNREQUESTED, null)
         failConnection("malformed response: ${cause?.message}", isDisconnect = cause is PrematureChannelClosureException)
+    }
 
     private fun failConnection(
         detail: String,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnectionObserver.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnectionObserver.kt
@@ -10,6 +10,12 @@
         response: HttpResponse,
     )
 
+    /** The endpoint sent data that belongs to no waiting request. */
+    fun onSurplus(
+        connection: EndpointConnection,
+        surplus: SurplusResponse,
+    )
+
     /** The response is complete and the connection may carry another request. */
     fun onReusable(connection: EndpointConnection)
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -6,6 +6,7 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointAvailability
+import io.knapweedferry.routing.fleet.SurplusResponses
 import io.knapweedferry.routing.http.ReadQuota
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.netty.bootstrap.Bootstrap
@@ -29,6 +30,7 @@
     group: EventLoopGroup,
     private val protocol: UpstreamProtocol,
     private val availability: EndpointAvailability,
+    private val surplusResponses: SurplusResponses,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) : EndpointConnectionObserver {
     private val idle = HashMap<EndpointId, ArrayDeque<EndpointConnection>>()
@@ -113,6 +115,11 @@
         availability.record(connection.endpoint, status, protocol.readNotice(status, response.headers()))
     }
 
+    override fun onSurplus(
+        connection: EndpointConnection,
+        surplus: SurplusResponse,
+    ) = surplusResponses.record(connection.endpoint, surplus)
+
     override fun onReusable(connection: EndpointConnection) {
         val idleConnections = idle.getOrPut(connection.endpoint.id) { ArrayDeque() }
         if (idleConnections.size >= MAX_IDLE_CONNECTIONS_PER_ENDPOINT) return connection.close()
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/LogEvent.kt
@@ -289,6 +289,12 @@
         "endpoint asked for a time without requests that cannot be read",
         "correct the endpoint; the request for a pause is ignored",
     ),
+    SURPLUS_RESPONSE(
+        631,
+        EventLevel.WARN,
+        "endpoint sent a response that belongs to no waiting request",
+        "check why the endpoint responds more than once; the response is not delivered",
+    ),
 
     // 7xx: platform
     LOG_DOWN(
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/RoutingMetrics.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/RoutingMetrics.kt
@@ -28,6 +28,8 @@
     private val reservationTimes =
         ReservationOutcome.entries.associateWith { meters.timer("routed.reservation", "outcome" to it.label, RESERVATION_BOUNDS_MS) }
     private val brokenRuns = listOf(true, false).associateWith { meters.counter("routed.runs.broken", "begun" to "$it") }
+    private val surplusResponses =
+        SurplusKind.entries.associateWith { meters.counter("routed.surplus.responses", "kind" to it.label) }
     private val admissionWaitTimes = Rank.entries.associateWith { meters.timer("routed.gate.wait", it, RESPONSE_BOUNDS_MS) }
     private val disconnects = meters.counter("routed.callers.gone")
     private val successfulStoreCalls = storeCalls.associateWith { meters.counter("store.calls", "call" to it, "result" to "ok") }
@@ -76,6 +78,9 @@
     /** Counts a run whose connection was closed by its engine or the network; [hasBegun] if it had delivered events. */
     public fun countBrokenRun(hasBegun: Boolean): Unit = brokenRuns.getValue(hasBegun).increment()
 
+    /** Counts a response, or other data, of an endpoint that belongs to no waiting request. */
+    public fun countSurplusResponse(kind: SurplusKind): Unit = surplusResponses.getValue(kind).increment()
+
     /** Counts a caller that disconnected before its response was complete. */
     public fun countDisconnectedCaller(): Unit = disconnects.increment()
 
--- /dev/null
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
@@ -0,0 +1,13 @@
+package io.knapweedferry.telemetry
+
+/** Why data of an endpoint belongs to no request that waits for it; value of the metric label `kind`. */
+public enum class SurplusKind {
+    /** No request was waiting on the connection. */
+    UNREQUESTED,
+
+    /** The response names another request. */
+    OTHER_REQUEST,
+
+    /** The response names no request and may be a copy of an earlier one on its connection. */
+    UNNAMED,
+}
