--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -114,16 +113,22 @@
             return
         }
         isSkippingResponse = !isForPendingRequest(response)
-        if (isSkippingResponse) reportSurplus(if (answeredId(response) == null) SurplusKind.UNNAMED else SurplusKind.OTHER_REQUEST, response)
+        if (isSkippingResponse) return skip(response)
         responses++
         if (!isReusableAfter(response)) isReusable = false
-        if (isSkippingResponse) return
-        isDelimited = hasLength(response)
+        isDelimited = decoder.isDelimited(response)
         readLimit.onProgress()
         response.headers().get(KEEP_ALIVE)?.let(::setKeepAlive)
         pendingResponse.begin(ResponseHead(response.status().code(), response.headers()))
     }
 
+    private fun skip(response: HttpResponse) {
+        reportSurplus(if (answeredId(response) == null) SurplusKind.UNNAMED else SurplusKind.OTHER_REQUEST, response)
+        responses++
+        isReusable = false
+        if (!decoder.isDelimited(response)) failConnection("no response can follow one that ends with its connection")
+    }
+
     /** A response without an id can be attributed to the pending request only if it is the first one on the connection. */
     private fun isForPendingRequest(response: HttpResponse): Boolean {
         val answered = answeredId(response) ?: return requestId == null || responses == 0
@@ -133,15 +138,12 @@
     private fun answeredId(response: HttpResponse) = protocol.answeredRequestId(response.headers())
 
     private fun isReusableAfter(response: HttpResponse): Boolean {
-        if (isSkippingResponse || !HttpUtil.isKeepAlive(response) || !hasLength(response)) return false
+        if (!HttpUtil.isKeepAlive(response) || !decoder.isDelimited(response)) return false
         if (requestId == null) return true
         return answeredId(response) != null &&
             !protocol.provesNotRun(response.status().code(), response.headers())
     }
 
-    private fun hasLength(response: HttpResponse) =
-        decoder.expectsNoBody || HttpUtil.isTransferEncodingChunked(response) || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-
     private fun setKeepAlive(value: String) {
         val seconds =
             Regex("timeout=(\\d+)")
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
@@ -1,8 +1,11 @@
 package io.knapweedferry.routing.upstream
 
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
 
 /** Decodes responses of endpoints. A response to a HEAD request has no body, whatever its headers say. */
 internal class EndpointResponseDecoder :
@@ -14,6 +17,12 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = expectsNoBody || super.isContentAlwaysEmpty(message)
 
+    /** True if [response] shows where it ends; the body of any other response ends with its connection. */
+    fun isDelimited(response: HttpResponse): Boolean =
+        isContentAlwaysEmpty(response) ||
+            HttpUtil.isTransferEncodingChunked(response) ||
+            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+
     private companion object {
         /** Endpoints of the platform send well below 2 KB of headers; a response beyond this limit is treated as malformed. */
         const val MAX_HEADER_BYTES = 64 * 1024
