--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -1,6 +1,5 @@
 package io.knapweedferry.routing.upstream
 
-import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.telemetry.SurplusKind
 import io.netty.buffer.ByteBufUtil
@@ -14,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
-import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -22,14 +20,12 @@
 import kotlin.time.TimeSource
 
 /**
- * One connection to an endpoint, which carries one request at a time. Endpoints may send a surplus response late, even one
- * without an id, so on a connection that has carried a response before, only a response with the id of the pending request
- * is accepted; others are skipped. A connection that received unexpected data is not reused, and neither is one that carried
- * a refusal: a repeated refusal could bear the id of a request that is sent again on the same connection.
+ * One connection to an endpoint, which carries one request at a time. A response that does not answer it is skipped, and a
+ * connection that received unexpected data is not reused.
  */
 internal class EndpointConnection(
     val endpoint: RoutedEndpoint,
-    private val protocol: UpstreamProtocol,
+    private val attribution: ResponseAttribution,
     private val decoder: EndpointResponseDecoder,
     private val readLimit: ReadLimit,
     private val timeSource: TimeSource,
@@ -44,8 +40,6 @@
     /** True if a length or chunks mark the end of the present response. */
     private var isDelimited = false
 
-    /** Number of responses that have arrived; a later one may be a copy of one of them. */
-    private var responses = 0
     private var idleSince = timeSource.markNow()
 
     /** Idle time after which the endpoint may close the connection. */
@@ -65,9 +59,9 @@
         val pendingResponse = PendingResponse { isPaused -> context.channel().config().isAutoRead = !isPaused }
         pending = pendingResponse
         requestId = request.requestId
+        attribution.onRequest(request)
         isSkippingResponse = false
         readLimit.onProgress()
-        decoder.expectsNoBody = request.method.name() == "HEAD"
         val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method, request.target, Unpooled.wrappedBuffer(request.body))
         message.headers().add(request.headers)
         context.writeAndFlush(message).addListener {
@@ -106,44 +100,29 @@
 
     private fun receiveHead(response: HttpResponse) {
         val pendingResponse = pending ?: return failUnrequested(response)
-        if (isForPendingRequest(response)) observer.onHead(this, response)
+        if (attribution.isForRequest(response)) observer.onHead(this, response)
         if (HttpStatusClass.INFORMATIONAL.contains(response.status().code())) {
             isSkippingResponse = true
             isReusable = isReusable && response.status() == HttpResponseStatus.CONTINUE
             return
         }
-        isSkippingResponse = !isForPendingRequest(response)
+        isSkippingResponse = !attribution.isForRequest(response)
         if (isSkippingResponse) return skip(response)
-        responses++
-        if (!isReusableAfter(response)) isReusable = false
+        attribution.onResponse()
         isDelimited = decoder.isDelimited(response)
+        if (!isDelimited || !attribution.permitsReuseAfter(response)) isReusable = false
         readLimit.onProgress()
         response.headers().get(KEEP_ALIVE)?.let(::setKeepAlive)
         pendingResponse.begin(ResponseHead(response.status().code(), response.headers()))
     }
 
     private fun skip(response: HttpResponse) {
-        reportSurplus(if (answeredId(response) == null) SurplusKind.UNNAMED else SurplusKind.OTHER_REQUEST, response)
-        responses++
+        reportSurplus(if (attribution.answeredRequestId(response) == null) SurplusKind.UNNAMED else SurplusKind.OTHER_REQUEST, response)
+        attribution.onResponse()
         isReusable = false
         if (!decoder.isDelimited(response)) failConnection("no response can follow one that ends with its connection")
     }
 
-    /** A response without an id can be attributed to the pending request only if it is the first one on the connection. */
-    private fun isForPendingRequest(response: HttpResponse): Boolean {
-        val answered = answeredId(response) ?: return requestId == null || responses == 0
-        return answered == requestId
-    }
-
-    private fun answeredId(response: HttpResponse) = protocol.answeredRequestId(response.headers())
-
-    private fun isReusableAfter(response: HttpResponse): Boolean {
-        if (!HttpUtil.isKeepAlive(response) || !decoder.isDelimited(response)) return false
-        if (requestId == null) return true
-        return answeredId(response) != null &&
-            !protocol.provesNotRun(response.status().code(), response.headers())
-    }
-
     private fun setKeepAlive(value: String) {
         val seconds =
             Regex("timeout=(\\d+)")
@@ -181,11 +160,11 @@
             SurplusResponse(
                 kind = kind,
                 status = response?.status()?.code(),
-                answeredRequestId = response?.let(::answeredId),
+                answeredRequestId = response?.let(attribution::answeredRequestId),
                 pendingRequestId = requestId.takeIf { pending != null },
                 localPort = (context.channel().localAddress() as? InetSocketAddress)?.port ?: 0,
-                earlierResponses = responses,
-                sinceLastResponseMs = idleMs.takeIf { responses > 0 },
+                earlierResponses = attribution.responses,
+                sinceLastResponseMs = idleMs.takeIf { attribution.responses > 0 },
             )
         observer.onSurplus(this, surplus)
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -79,8 +79,9 @@
 
     private suspend fun connect(endpoint: RoutedEndpoint): Either<AttemptFailure.NotSent, EndpointConnection> {
         val readLimit = ReadLimit()
-        val decoder = EndpointResponseDecoder()
-        val connection = EndpointConnection(endpoint, protocol, decoder, readLimit, timeSource, this)
+        val attribution = ResponseAttribution(protocol)
+        val decoder = EndpointResponseDecoder(attribution)
+        val connection = EndpointConnection(endpoint, attribution, decoder, readLimit, timeSource, this)
         val connecting =
             bootstrap
                 .clone()
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
@@ -8,14 +8,13 @@
 import io.netty.handler.codec.http.HttpUtil
 
 /** Decodes responses of endpoints. A response to a HEAD request has no body, whatever its headers say. */
-internal class EndpointResponseDecoder :
-    HttpResponseDecoder(
+internal class EndpointResponseDecoder(
+    private val attribution: ResponseAttribution,
+) : HttpResponseDecoder(
         HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES),
     ) {
-    /** Must be set before each request is written. */
-    var expectsNoBody: Boolean = false
-
-    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = expectsNoBody || super.isContentAlwaysEmpty(message)
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        super.isContentAlwaysEmpty(message) || (message is HttpResponse && attribution.isBodyless(message))
 
     /** True if [response] shows where it ends; the body of any other response ends with its connection. */
     fun isDelimited(response: HttpResponse): Boolean =
