--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/UpstreamProtocol.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/call/UpstreamProtocol.kt
@@ -8,6 +8,9 @@
     /** Name of the header that carries the id of a request. */
     public val requestIdHeader: String
 
+    /** Names of headers, in lower case, that only endpoints set; within a body they show the head of another response. */
+    public val endpointHeaders: Set<String>
+
     /** Reads the traits of a request; malformed headers are treated as absent. */
     public fun readTraits(headers: HttpHeaders): CallTraits
 
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScan.kt
@@ -0,0 +1,88 @@
+package io.knapweedferry.routing.upstream
+
+/**
+ * Finds the head of a response within the body of another one: a status line, followed by a header that only endpoints set. An
+ * endpoint that responds twice writes it there if its first response has no length or stops short of it. The body may arrive in
+ * pieces of any size.
+ */
+internal class EmbeddedResponseScan(
+    /** Names of the headers, in lower case. */
+    private val endpointHeaders: Set<String>,
+) {
+    private enum class State { BODY, STATUS_LINE, HEADER_NAME, HEADER_VALUE }
+
+    private var state = State.BODY
+    private var matched = 0
+    private val line = StringBuilder()
+
+    /** Forgets what has been scanned, at the start of a body. */
+    fun reset() {
+        state = State.BODY
+        matched = 0
+    }
+
+    /** True once the body with the further [bytes] contains the head of a response. */
+    fun finds(bytes: ByteArray): Boolean = bytes.any { finds((it.toInt() and BYTE_MASK).toChar()) }
+
+    private fun finds(char: Char): Boolean {
+        when (state) {
+            State.BODY -> matchVersion(char)
+            State.STATUS_LINE -> if (char == '\n') beginHeader() else checkStatus(char)
+            State.HEADER_NAME -> return finishesEndpointHeader(char)
+            State.HEADER_VALUE -> if (char == '\n') beginHeader()
+        }
+        return false
+    }
+
+    private fun matchVersion(char: Char) {
+        matched =
+            when (char) {
+                VERSION[matched] -> matched + 1
+                VERSION[0] -> 1
+                else -> 0
+            }
+        if (matched == VERSION.length) {
+            state = State.STATUS_LINE
+            line.clear()
+        }
+    }
+
+    /** The version is followed by its last digit, a space and three digits. */
+    private fun checkStatus(char: Char) {
+        if (line.length >= STATUS.length) return
+        val isExpected = if (STATUS[line.length] == ' ') char == ' ' else char.isDigit()
+        if (isExpected) line.append(char) else returnToBody(char)
+    }
+
+    private fun beginHeader() {
+        state = State.HEADER_NAME
+        line.clear()
+    }
+
+    private fun finishesEndpointHeader(char: Char): Boolean {
+        when {
+            char == ':' -> {
+                if (line.toString() in endpointHeaders) return true
+                state = State.HEADER_VALUE
+            }
+            line.length < MAX_NAME_CHARS && (char.isLetterOrDigit() || char == '-') -> line.append(char.lowercaseChar())
+            else -> returnToBody(char)
+        }
+        return false
+    }
+
+    private fun returnToBody(char: Char) {
+        state = State.BODY
+        matched = 0
+        matchVersion(char)
+    }
+
+    private companion object {
+        const val VERSION = "HTTP/1."
+
+        /** Shape of what follows [VERSION]: digits and spaces. */
+        const val STATUS = "0 000"
+        const val MAX_NAME_CHARS = 64
+        const val BYTE_MASK = 0xff
+    }
+}
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -27,6 +27,7 @@
     val endpoint: RoutedEndpoint,
     private val attribution: ResponseAttribution,
     private val decoder: EndpointResponseDecoder,
+    private val embeddedResponses: EmbeddedResponseScan,
     private val readLimit: ReadLimit,
     private val timeSource: TimeSource,
     private val observer: EndpointConnectionObserver,
@@ -106,6 +107,7 @@
             isReusable = isReusable && response.status() == HttpResponseStatus.CONTINUE
             return
         }
+        embeddedResponses.reset()
         isSkippingResponse = !attribution.isForRequest(response)
         if (isSkippingResponse) return skip(response)
         attribution.onResponse()
@@ -134,11 +136,13 @@
     }
 
     private fun receiveContent(content: HttpContent) {
-        if (isSkippingResponse) return
         val pendingResponse = pending ?: return failConnection("response body without a request")
-        if (content.content().isReadable) {
+        val bytes = ByteBufUtil.getBytes(content.content())
+        if (embeddedResponses.finds(bytes)) return failEmbedded()
+        if (isSkippingResponse) return
+        if (bytes.isNotEmpty()) {
             readLimit.onProgress()
-            pendingResponse.add(ByteBufUtil.getBytes(content.content()))
+            pendingResponse.add(bytes)
         }
         if (content !is LastHttpContent) return
         pending = null
@@ -152,6 +156,11 @@
         failConnection("response without a request")
     }
 
+    private fun failEmbedded() {
+        reportSurplus(SurplusKind.EMBEDDED, null)
+        failConnection("the body contains another response")
+    }
+
     private fun reportSurplus(
         kind: SurplusKind,
         response: HttpResponse?,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -81,7 +81,7 @@
         val readLimit = ReadLimit()
         val attribution = ResponseAttribution(protocol)
         val decoder = EndpointResponseDecoder(attribution)
-        val connection = EndpointConnection(endpoint, attribution, decoder, readLimit, timeSource, this)
+        val connection = EndpointConnection(endpoint, attribution, decoder, EmbeddedResponseScan(protocol.endpointHeaders), readLimit, timeSource, this)
         val connecting =
             bootstrap
                 .clone()
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
@@ -10,4 +10,7 @@
 
     /** The response names no request and may be a copy of an earlier one on its connection. */
     UNNAMED,
+
+    /** The body of a response contains the head of another one. */
+    EMBEDDED,
 }
