--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BlockScan.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BlockScan.kt
@@ -9,6 +9,7 @@
     private var isWellFormed = true
     private var idStart = 0
     private var idEnd = 0
+    private val idRanges = ArrayList<IntRange>()
 
     /** Adds the event that ends at the offset [end]. */
     fun add(
@@ -21,10 +22,18 @@
         if (!event.hasId) return
         idStart = event.idStart
         idEnd = event.idEnd
+        idRanges += event.idStart until event.idEnd
     }
 
     fun toBlock(buffer: ByteArray): EventBlock {
-        val lastEventId = if (idEnd > idStart) String(buffer, idStart, idEnd - idStart, Charsets.ISO_8859_1).trim() else null
-        return EventBlock(buffer.copyOf(end), lastEventId, dataEvents, isWellFormed)
+        val lastEventId = if (idEnd > idStart) text(buffer, idStart, idEnd) else null
+        val ids = idRanges.mapNotNull { text(buffer, it.first, it.last + 1).toLongOrNull() }.toLongArray()
+        return EventBlock(buffer.copyOf(end), lastEventId, ids, dataEvents, isWellFormed)
     }
+
+    private fun text(
+        buffer: ByteArray,
+        start: Int,
+        end: Int,
+    ) = String(buffer, start, end - start, Charsets.ISO_8859_1).trim()
 }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventRelay.kt
@@ -43,6 +43,8 @@
     var attemptEvents = 0
         private set
 
+    private val order = EventOrder()
+
     /** True if an earlier attempt has delivered events, so that the present one continues the stream. */
     private var isContinuation = false
 
@@ -66,7 +68,7 @@
                     receivedBytes += part.bytes.size
                     bytesSinceProgress += part.bytes.size
                     val events = splitter.add(part.bytes)
-                    if (isContinuation && !events.isWellFormed) return End.MALFORMED
+                    if (!continuesStream(events)) return End.MALFORMED
                     deliver(events, splitter.partialEventBytes)
                     if (bytesSinceProgress > MAX_EVENT_BYTES || receivedBytes > MAX_STREAM_BYTES) return End.TOO_LONG
                 }
@@ -76,6 +78,12 @@
         }
     }
 
+    /** The first events of a stream may be of any shape, because nothing has been delivered that they would have to continue. */
+    private fun continuesStream(events: EventBlock): Boolean {
+        val hasDelivered = isContinuation || attemptEvents > 0
+        return (events.isWellFormed || !hasDelivered) && order.continuesWith(events.ids)
+    }
+
     /** A continuation without an event does not show that the stream was complete before. */
     private suspend fun end(
         part: ResponsePart.End,
