--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallRecord.kt
@@ -1,5 +1,6 @@
 package io.knapweedferry.routing.pipeline
 
+import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.fleet.EndpointChoice
@@ -24,6 +25,7 @@
         private set
 
     private val steps = StringBuilder()
+    private val sentTo = HashSet<EndpointId>()
 
     /** Space-separated steps, each with the endpoint where there is one and the time since arrival in ms. */
     val trace: String get() = steps.toString()
@@ -34,6 +36,12 @@
     /** True if an endpoint may have run the request, or may still run it. */
     val mayHaveRun: Boolean get() = unconfirmedSends > 0
 
+    /**
+     * False if a pooled connection to [endpoint] may carry a late response that cannot be told from the one to this request: it
+     * has no id, or was sent there before under the same id.
+     */
+    fun permitsPooledConnection(endpoint: EndpointId): Boolean = call.traits.requestId != null && endpoint !in sentTo
+
     fun recordSent(
         choice: EndpointChoice,
         terms: AttemptTerms,
@@ -42,6 +50,7 @@
             sentCount++
             unconfirmedSends++
         }
+        sentTo += choice.endpoint.id
         val step = if (terms.isPrefill) "prefill" else "send"
         recordStep("$step>${choice.endpoint.id.value}~${choice.costMs.toInt()}")
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -57,7 +57,8 @@
         var isOpen = false
         val connecting = timeSource.markNow()
         try {
-            val connected = pool.acquire(endpoint, options.maxIdleMs)
+            val maxIdleMs = options.maxIdleMs.takeIf { record.permitsPooledConnection(endpoint.id) }
+            val connected = pool.acquire(endpoint, maxIdleMs)
             return connected
                 .onLeft {
                     tracker.recordUnreachable("connect")
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -46,11 +46,11 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
 
-    /** Returns a pooled connection that was idle for [maxIdleMs] at most, or a new one. */
+    /** Returns a pooled connection that was idle for [maxIdleMs] at most, or a new one; always a new one if [maxIdleMs] is null. */
     suspend fun acquire(
         endpoint: RoutedEndpoint,
-        maxIdleMs: Long,
-    ): Either<AttemptFailure.NotSent, EndpointConnection> = takeIdle(endpoint.id, maxIdleMs)?.right() ?: connect(endpoint)
+        maxIdleMs: Long?,
+    ): Either<AttemptFailure.NotSent, EndpointConnection> = maxIdleMs?.let { takeIdle(endpoint.id, it) }?.right() ?: connect(endpoint)
 
     /** Closes idle connections to endpoints that are no longer known. */
     fun retain(known: Set<EndpointId>) {
