--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -49,7 +49,9 @@
     val idleMs: Long get() = idleSince.elapsedNow().inWholeMilliseconds
 
     val isUsable: Boolean
-        get() = isReusable && pending == null && context.channel().isActive && idleMs < keepAliveMs - KEEP_ALIVE_MARGIN_MS
+        get() =
+            isReusable && pending == null && context.channel().isActive && !decoder.hasPartialMessage &&
+                idleMs < keepAliveMs - KEEP_ALIVE_MARGIN_MS
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
@@ -13,6 +13,9 @@
 ) : HttpResponseDecoder(
         HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES),
     ) {
+    /** True if a part of a message has arrived that cannot be decoded yet. */
+    val hasPartialMessage: Boolean get() = actualReadableBytes() > 0
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || (message is HttpResponse && attribution.isBodyless(message))
 
