--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.knapweedferry.routing.call.AttemptTerms
@@ -94,48 +95,74 @@
 
     /**
      * Sends a request that originates in the entry and returns the complete response. [isPermitted] is asked once there is a
-     * connection, right before the request is written.
+     * connection, right before the request is written. A response that fails [check] belongs to an earlier request;
+     * [request] is sent again then, on a new connection.
      */
     suspend fun sendControl(
         endpoint: RoutedEndpoint,
         request: ControlRequest,
         timeoutMs: Long,
         isPermitted: () -> Boolean = { true },
+        check: ResponseCheck = ResponseCheck.ANY,
     ): Either<AttemptFailure, BufferedResponse> =
-        withTimeoutOrNull(timeoutMs) { exchange(endpoint, request, isPermitted) }
+        withTimeoutOrNull(timeoutMs) { exchange(endpoint, request, isPermitted, check) }
             ?: AttemptFailure.NoResponse("no response within $timeoutMs ms").left()
 
     /** Like [sendControl], but does not wait for the response. */
     fun sendControlAsync(
         endpoint: RoutedEndpoint,
         request: ControlRequest,
+        check: ResponseCheck,
     ) {
-        scope.launch { sendControl(endpoint, request, CONTROL_TIMEOUT_MS) }
+        scope.launch { sendControl(endpoint, request, CONTROL_TIMEOUT_MS, check = check) }
     }
 
     private suspend fun exchange(
         endpoint: RoutedEndpoint,
         request: ControlRequest,
         isPermitted: () -> Boolean,
+        check: ResponseCheck,
     ): Either<AttemptFailure, BufferedResponse> {
         if (availability.remainingPauseMs(endpoint) > 0) return AttemptFailure.NotSent(NOT_ACCEPTING).left()
+        for (maxIdleMs in listOf(Long.MAX_VALUE, null)) {
+            val connection = pool.acquire(endpoint, maxIdleMs).getOrElse { return it.left() }
+            if (!isPermitted()) return notSent(connection, "the permission to send it has expired")
+            val response = exchange(connection, request).getOrElse { return it.left() }
+            val isOwn = check.isOwn(response, connection.mayCarryCopies)
+            connection.release(isOwn)
+            if (isOwn) return response.right()
+        }
+        return AttemptFailure.NoResponse(REPEATED_RESPONSE).left()
+    }
+
+    private suspend fun exchange(
+        connection: EndpointConnection,
+        request: ControlRequest,
+    ): Either<AttemptFailure, BufferedResponse> {
+        val pending = connection.sendOrClose { outboundRequest(connection.endpoint, request) }
+        try {
+            return readShort(pending)
+        } finally {
+            connection.cancel(pending)
+        }
+    }
+
+    private fun outboundRequest(
+        endpoint: RoutedEndpoint,
+        request: ControlRequest,
+    ): OutboundRequest {
         val headers = DefaultHttpHeaders().add(request.headers).set(HttpHeaderNames.HOST, endpoint.hostHeader())
         if (request.body.isNotEmpty()) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json").set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
-        return pool.acquire(endpoint, Long.MAX_VALUE).flatMap { connection ->
-            if (!isPermitted()) return@flatMap notSent(connection, "the permission to send it has expired")
-            val response = connection.sendOrClose { OutboundRequest(request.method, request.target, headers, request.body, null) }
-            try {
-                response.head().flatMap { head ->
-                    BodyReader.read(BodyReader.MAX_SHORT_BODY_BYTES, response::next).map { BufferedResponse(head.status, head.headers, it) }
-                }
-            } finally {
-                connection.cancel(response)
-            }
-        }
+        return OutboundRequest(request.method, request.target, headers, request.body, requestId = null, isControl = true)
     }
 
+    private suspend fun readShort(response: PendingResponse): Either<AttemptFailure, BufferedResponse> =
+        response.head().flatMap { head ->
+            BodyReader.read(BodyReader.MAX_SHORT_BODY_BYTES, response::next).map { BufferedResponse(head.status, head.headers, it) }
+        }
+
     /** An unexpected error while the request is built or written leaves nobody else who would close the connection. */
     private inline fun EndpointConnection.sendOrClose(request: () -> OutboundRequest): PendingResponse {
         var isSent = false
@@ -171,6 +198,7 @@
 
     private companion object {
         const val CONTROL_TIMEOUT_MS = 1_000L
+        const val REPEATED_RESPONSE = "the endpoint repeated an earlier response"
         const val NOT_ACCEPTING = "the endpoint is leaving or wants no requests"
 
         /** A sixth of the heap; a response takes up to three times its size while it is read. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineReservations.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EngineReservations.kt
@@ -1,6 +1,5 @@
 package io.knapweedferry.routing.pipeline
 
-import arrow.core.getOrElse
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
@@ -17,6 +16,11 @@
     private val metrics: RoutingMetrics,
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) {
+    private val granted = GrantedReservations()
+
+    /** A release grants nothing. */
+    private val releaseCheck = ResponseCheck { response, _ -> protocol.readReservation(response.body) == null }
+
     /**
      * Reserves the KV cache that the run of [ticket] needs, provided that its headroom is free as well; null if the engine
      * does not grant both. A short-lived probe reservation for both together checks this, so that nothing stays reserved at an
@@ -41,13 +45,14 @@
 
     private suspend fun releaseAndAwait(admission: Admission) {
         val reservation = admission.reservation ?: return
-        client.sendControl(admission.choice.endpoint, protocol.releaseReservation(reservation), RESERVE_TIMEOUT_MS)
+        val request = protocol.releaseReservation(reservation)
+        client.sendControl(admission.choice.endpoint, request, RESERVE_TIMEOUT_MS, check = releaseCheck)
     }
 
     /** Releases the reservation without waiting for the response. */
     fun release(admission: Admission) {
         val reservation = admission.reservation ?: return
-        client.sendControlAsync(admission.choice.endpoint, protocol.releaseReservation(reservation))
+        client.sendControlAsync(admission.choice.endpoint, protocol.releaseReservation(reservation), releaseCheck)
     }
 
     private fun recordResult(
@@ -68,20 +73,37 @@
         ttlMs: Long,
     ): ReservationResult {
         if (!client.accepts(choice.endpoint)) return ReservationResult(ReservationOutcome.NO_ROOM)
-        val tracker = selector.tracker(choice.endpoint.id)
         val request = protocol.reserve(choice.endpoint.id, tokens, ttlMs)
+        var outcome = ReservationOutcome.UNANSWERED
         val response =
-            client.sendControl(choice.endpoint, request, RESERVE_TIMEOUT_MS).getOrElse {
-                if (client.accepts(choice.endpoint)) tracker.recordUnreachable("reservation")
-                return ReservationResult(ReservationOutcome.UNANSWERED)
+            client.sendControl(choice.endpoint, request, RESERVE_TIMEOUT_MS) { response, mayBeCopy ->
+                outcome = outcomeOf(choice, response, mayBeCopy)
+                !mayBeCopy || outcome !in FOREIGN_RESPONSES
             }
-        if (protocol.isWrongEndpoint(response.status, response.headers)) {
-            tracker.recordReplaced("reservation")
-            return ReservationResult(ReservationOutcome.WRONG_ENDPOINT)
-        }
-        if (response.status != STATUS_OK) return ReservationResult(ReservationOutcome.NO_ROOM)
-        val reservation = protocol.readReservation(response.body) ?: return ReservationResult(ReservationOutcome.UNREADABLE)
-        return ReservationResult(ReservationOutcome.GRANTED, Admission(choice, reservation))
+        recordHealth(choice, outcome)
+        val reservation = response.getOrNull()?.takeIf { outcome == ReservationOutcome.GRANTED }?.let { protocol.readReservation(it.body) }
+        return ReservationResult(outcome, reservation?.let { Admission(choice, it) })
+    }
+
+    private fun outcomeOf(
+        choice: EndpointChoice,
+        response: BufferedResponse,
+        mayBeCopy: Boolean,
+    ): ReservationOutcome {
+        if (protocol.isWrongEndpoint(response.status, response.headers)) return ReservationOutcome.WRONG_ENDPOINT
+        if (response.status != STATUS_OK) return ReservationOutcome.NO_ROOM
+        val reservation = protocol.readReservation(response.body) ?: return ReservationOutcome.UNREADABLE
+        val isNew = granted.isNew(choice.endpoint, reservation)
+        return if (isNew || !mayBeCopy) ReservationOutcome.GRANTED else ReservationOutcome.REPEATED
+    }
+
+    private fun recordHealth(
+        choice: EndpointChoice,
+        outcome: ReservationOutcome,
+    ) {
+        val tracker = selector.tracker(choice.endpoint.id)
+        if (outcome == ReservationOutcome.UNANSWERED && client.accepts(choice.endpoint)) tracker.recordUnreachable("reservation")
+        if (outcome == ReservationOutcome.WRONG_ENDPOINT) tracker.recordReplaced("reservation")
     }
 
     private class ReservationResult(
@@ -92,6 +114,9 @@
     private companion object {
         const val STATUS_OK = 200
 
+        /** A success that grants nothing new answers an earlier request, such as a release. */
+        val FOREIGN_RESPONSES = setOf(ReservationOutcome.UNREADABLE, ReservationOutcome.REPEATED)
+
         /** Covers a prefill that is queued at another engine; the platform allows 2 s at most. */
         const val RESERVATION_TTL_MS = 2_000L
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -34,7 +34,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var pending: PendingResponse? = null
-    private var requestId: String? = null
+    private var request: OutboundRequest? = null
     private var isSkippingResponse = false
     private var isReusable = true
 
@@ -46,6 +46,9 @@
     /** Idle time after which the endpoint may close the connection. */
     private var keepAliveMs = DEFAULT_KEEP_ALIVE_MS
 
+    /** True if the last response may be a copy of an earlier one. */
+    val mayCarryCopies: Boolean get() = attribution.responses > 1
+
     val idleMs: Long get() = idleSince.elapsedNow().inWholeMilliseconds
 
     val isUsable: Boolean
@@ -61,7 +64,7 @@
     fun send(request: OutboundRequest): PendingResponse {
         val pendingResponse = PendingResponse { isPaused -> context.channel().config().isAutoRead = !isPaused }
         pending = pendingResponse
-        requestId = request.requestId
+        this.request = request
         attribution.onRequest(request)
         isSkippingResponse = false
         readLimit.onProgress()
@@ -150,7 +153,16 @@
         pending = null
         pendingResponse.end(isDelimited)
         idleSince = timeSource.markNow()
-        if (isReusable) observer.onReusable(this) else context.close()
+        if (!isReusable) context.close() else if (request?.isControl != true) observer.onReusable(this)
+    }
+
+    /**
+     * Called with the complete response to a request of the entry's own. If [isOwnResponse] is false, it is a copy of an earlier
+     * one, and the connection is closed, because the response to the request is still to come.
+     */
+    fun release(isOwnResponse: Boolean) {
+        if (!isOwnResponse) reportSurplus(SurplusKind.REPEATED, null)
+        if (isOwnResponse && isUsable) observer.onReusable(this) else close()
     }
 
     private fun failUnrequested(response: HttpResponse) {
@@ -172,7 +184,7 @@
                 kind = kind,
                 status = response?.status()?.code(),
                 answeredRequestId = response?.let(attribution::answeredRequestId),
-                pendingRequestId = requestId.takeIf { pending != null },
+                pendingRequestId = request?.requestId.takeIf { pending != null },
                 localPort = (context.channel().localAddress() as? InetSocketAddress)?.port ?: 0,
                 earlierResponses = attribution.responses,
                 sinceLastResponseMs = idleMs.takeIf { attribution.responses > 0 },
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/OutboundRequest.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/OutboundRequest.kt
@@ -9,6 +9,11 @@
     val target: String,
     val headers: HttpHeaders,
     val body: ByteArray,
-    /** Id of the request; a response that carries another id is skipped. Null disables the check. */
+    /** Id of the request; a response that carries another id is skipped. */
     val requestId: String?,
+    /**
+     * True for a request of the entry's own, whose responses bear no id. Its reader checks what the response says and then calls
+     * [EndpointConnection.release].
+     */
+    val isControl: Boolean = false,
 )
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/ResponseAttribution.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/ResponseAttribution.kt
@@ -14,6 +14,7 @@
     private val protocol: UpstreamProtocol,
 ) {
     private var requestId: String? = null
+    private var isControl = false
     private var isHead = false
 
     /** Number of responses that have arrived; a later one may be a copy of one of them. */
@@ -22,6 +23,7 @@
 
     fun onRequest(request: OutboundRequest) {
         requestId = request.requestId
+        isControl = request.isControl
         isHead = request.method == HttpMethod.HEAD
     }
 
@@ -29,9 +31,12 @@
         responses++
     }
 
-    /** A response without an id can be attributed to the request only if it is the first one on the connection. */
+    /**
+     * A response without an id can be attributed to the request only if it is the first one on the connection. Responses to
+     * requests of the entry's own have none; their readers check what they say.
+     */
     fun isForRequest(response: HttpResponse): Boolean {
-        val answered = answeredRequestId(response) ?: return requestId == null || responses == 0
+        val answered = answeredRequestId(response) ?: return isControl || responses == 0
         return answered == requestId
     }
 
@@ -46,7 +51,7 @@
      */
     fun permitsReuseAfter(response: HttpResponse): Boolean {
         if (!HttpUtil.isKeepAlive(response) || isHead) return false
-        if (requestId == null) return true
+        if (isControl) return true
         return answeredRequestId(response) != null && !protocol.provesNotRun(response.status().code(), response.headers())
     }
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/ReservationOutcome.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/ReservationOutcome.kt
@@ -9,4 +9,7 @@
     /** Another endpoint responded at the engine's address. */
     WRONG_ENDPOINT,
     UNREADABLE,
+
+    /** The response belongs to an earlier request. */
+    REPEATED,
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
@@ -13,4 +13,7 @@
 
     /** The body of a response contains the head of another one. */
     EMBEDDED,
+
+    /** The response to a request of the entry's own says what only an earlier one can have said. */
+    REPEATED,
 }
