--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -5,6 +5,7 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.call.ControlRequest
@@ -58,8 +59,7 @@
         var isOpen = false
         val connecting = timeSource.markNow()
         try {
-            val maxIdleMs = options.maxIdleMs.takeIf { record.permitsPooledConnection(endpoint.id) }
-            val connected = pool.acquire(endpoint, maxIdleMs)
+            val connected = pool.acquire(endpoint, options.maxIdleMs.takeIf { permitsReuse(record, endpoint.id) })
             return connected
                 .onLeft {
                     tracker.recordUnreachable("connect")
@@ -79,6 +79,11 @@
         }
     }
 
+    private fun permitsReuse(
+        record: CallRecord,
+        endpoint: EndpointId,
+    ) = record.permitsPooledConnection(endpoint) && pool.permitsReuse(endpoint)
+
     /** Sends the request and buffers the complete response. */
     suspend fun fetch(
         record: CallRecord,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -46,6 +46,9 @@
     /** Idle time after which the endpoint may close the connection. */
     private var keepAliveMs = DEFAULT_KEEP_ALIVE_MS
 
+    /** True if the last request was one of the entry's own. */
+    val isForControl: Boolean get() = request?.isControl == true
+
     /** True if the last response may be a copy of an earlier one. */
     val mayCarryCopies: Boolean get() = attribution.responses > 1
 
@@ -53,7 +56,10 @@
 
     val isUsable: Boolean
         get() =
-            isReusable && pending == null && context.channel().isActive && !decoder.hasPartialMessage &&
+            isReusable &&
+                pending == null &&
+                context.channel().isActive &&
+                !decoder.hasPartialMessage &&
                 idleMs < keepAliveMs - KEEP_ALIVE_MARGIN_MS
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -153,7 +159,11 @@
         pending = null
         pendingResponse.end(isDelimited)
         idleSince = timeSource.markNow()
-        if (!isReusable) context.close() else if (request?.isControl != true) observer.onReusable(this)
+        if (!isReusable) {
+            context.close()
+        } else if (!isForControl) {
+            observer.onReusable(this)
+        }
     }
 
     /**
@@ -182,6 +192,7 @@
         val surplus =
             SurplusResponse(
                 kind = kind,
+                isDelimited = response == null || decoder.isDelimited(response),
                 status = response?.status()?.code(),
                 answeredRequestId = response?.let(attribution::answeredRequestId),
                 pendingRequestId = request?.requestId.takeIf { pending != null },
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -46,15 +46,23 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
 
+    /** False if a request to [endpoint] other than the entry's own needs a new connection. */
+    fun permitsReuse(endpoint: EndpointId): Boolean = surplusResponses.permitsReuse(endpoint)
+
     /** Returns a pooled connection that was idle for [maxIdleMs] at most, or a new one; always a new one if [maxIdleMs] is null. */
     suspend fun acquire(
         endpoint: RoutedEndpoint,
         maxIdleMs: Long?,
     ): Either<AttemptFailure.NotSent, EndpointConnection> = maxIdleMs?.let { takeIdle(endpoint.id, it) }?.right() ?: connect(endpoint)
 
-    /** Closes idle connections to endpoints that are no longer known. */
+    /** Drops idle connections to, and state of, endpoints that are no longer known. */
     fun retain(known: Set<EndpointId>) {
-        (idle.keys - known).forEach { id -> idle.remove(id)?.toList()?.forEach { it.close() } }
+        (idle.keys - known).forEach(::closeIdle)
+        surplusResponses.retain(known)
+    }
+
+    private fun closeIdle(id: EndpointId) {
+        idle.remove(id)?.toList()?.forEach { it.close() }
     }
 
     private fun takeIdle(
@@ -81,7 +89,8 @@
         val readLimit = ReadLimit()
         val attribution = ResponseAttribution(protocol)
         val decoder = EndpointResponseDecoder(attribution)
-        val connection = EndpointConnection(endpoint, attribution, decoder, EmbeddedResponseScan(protocol.endpointHeaders), readLimit, timeSource, this)
+        val embeddedResponses = EmbeddedResponseScan(protocol.endpointHeaders)
+        val connection = EndpointConnection(endpoint, attribution, decoder, embeddedResponses, readLimit, timeSource, this)
         val connecting =
             bootstrap
                 .clone()
@@ -119,9 +128,13 @@
     override fun onSurplus(
         connection: EndpointConnection,
         surplus: SurplusResponse,
-    ) = surplusResponses.record(connection.endpoint, surplus)
+    ) {
+        surplusResponses.record(connection.endpoint, surplus)
+        closeIdle(connection.endpoint.id)
+    }
 
     override fun onReusable(connection: EndpointConnection) {
+        if (!connection.isForControl && !surplusResponses.permitsReuse(connection.endpoint.id)) return connection.close()
         val idleConnections = idle.getOrPut(connection.endpoint.id) { ArrayDeque() }
         if (idleConnections.size >= MAX_IDLE_CONNECTIONS_PER_ENDPOINT) return connection.close()
         idleConnections.addLast(connection)
