--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/SurplusResponses.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/SurplusResponses.kt
@@ -6,6 +6,7 @@
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.LogEvent
 import io.knapweedferry.telemetry.RoutingMetrics
+import io.knapweedferry.telemetry.SurplusKind
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -26,7 +27,7 @@
         endpoint: RoutedEndpoint,
         surplus: SurplusResponse,
     ) {
-        if (!surplus.isDelimited) lastUndelimited[endpoint.id] = timeSource.markNow()
+        if (surplus.kind == SurplusKind.UNDELIMITED) lastUndelimited[endpoint.id] = timeSource.markNow()
         metrics.countSurplusResponse(surplus.kind)
         events.write(
             LogEvent.SURPLUS_RESPONSE,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScan.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScan.kt
@@ -13,6 +13,7 @@
 
     private var state = State.BODY
     private var matched = 0
+    private var hasHeader = false
     private val line = StringBuilder()
 
     /** Forgets what has been scanned, at the start of a body. */
@@ -22,7 +23,33 @@
     }
 
     /** True once the body with the further [bytes] contains the head of a response. */
-    fun finds(bytes: ByteArray): Boolean = bytes.any { finds((it.toInt() and BYTE_MASK).toChar()) }
+    fun finds(bytes: ByteArray): Boolean = bytes.any { finds(toChar(it)) }
+
+    /** True if a status line begins within the scanned body and goes on in [following], the bytes behind that body. */
+    fun findsAcrossEnd(following: ByteArray): Boolean {
+        if (state == State.BODY && matched == 0) return false
+        for (byte in following) {
+            if (hasStatus) return true
+            val matchedBefore = matched
+            if (state == State.BODY) matchVersion(toChar(byte)) else checkStatus(toChar(byte))
+            val hasLostCandidate = state == State.BODY && matched <= matchedBefore
+            if (hasLostCandidate) return false
+        }
+        return following.isNotEmpty() && hasStatus
+    }
+
+    /** True if the scanned body ends within the headers of a response. */
+    val endsWithinHeaders: Boolean get() = state == State.HEADER_VALUE || (state == State.HEADER_NAME && hasHeader)
+
+    private val hasStatus: Boolean
+        get() =
+            when (state) {
+                State.BODY -> false
+                State.STATUS_LINE -> line.length == STATUS.length
+                State.HEADER_NAME, State.HEADER_VALUE -> true
+            }
+
+    private fun toChar(byte: Byte) = (byte.toInt() and BYTE_MASK).toChar()
 
     private fun finds(char: Char): Boolean {
         when (state) {
@@ -43,6 +70,7 @@
             }
         if (matched == VERSION.length) {
             state = State.STATUS_LINE
+            hasHeader = false
             line.clear()
         }
     }
@@ -63,6 +91,7 @@
         when {
             char == ':' -> {
                 if (line.toString() in endpointHeaders) return true
+                hasHeader = true
                 state = State.HEADER_VALUE
             }
             line.length < MAX_NAME_CHARS && (char.isLetterOrDigit() || char == '-') -> line.append(char.lowercaseChar())
@@ -72,8 +101,7 @@
     }
 
     private fun returnToBody(char: Char) {
-        state = State.BODY
-        matched = 0
+        reset()
         matchVersion(char)
     }
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointConnection.kt
@@ -125,25 +125,21 @@
         isDelimited = decoder.isDelimited(response)
         if (!isDelimited || !attribution.permitsReuseAfter(response)) isReusable = false
         readLimit.onProgress()
-        response.headers().get(KEEP_ALIVE)?.let(::setKeepAlive)
+        KeepAliveHeader.timeoutMs(response.headers())?.let { keepAliveMs = it }
         pendingResponse.begin(ResponseHead(response.status().code(), response.headers()))
     }
 
     private fun skip(response: HttpResponse) {
-        reportSurplus(if (attribution.answeredRequestId(response) == null) SurplusKind.UNNAMED else SurplusKind.OTHER_REQUEST, response)
+        val kind =
+            when {
+                !decoder.isDelimited(response) -> SurplusKind.UNDELIMITED
+                attribution.answeredRequestId(response) == null -> SurplusKind.UNNAMED
+                else -> SurplusKind.OTHER_REQUEST
+            }
+        reportSurplus(kind, response)
         attribution.onResponse()
         isReusable = false
-        if (!decoder.isDelimited(response)) failConnection("no response can follow one that ends with its connection")
-    }
-
-    private fun setKeepAlive(value: String) {
-        val seconds =
-            Regex("timeout=(\\d+)")
-                .find(value)
-                ?.groupValues
-                ?.get(1)
-                ?.toLongOrNull() ?: return
-        keepAliveMs = seconds * MS_PER_SECOND
+        if (kind == SurplusKind.UNDELIMITED) failConnection("no response can follow one that ends with its connection")
     }
 
     private fun receiveContent(content: HttpContent) {
@@ -156,6 +152,7 @@
             pendingResponse.add(bytes)
         }
         if (content !is LastHttpContent) return
+        if (endsInOtherResponse()) return failEmbedded()
         pending = null
         pendingResponse.end(isDelimited)
         idleSince = timeSource.markNow()
@@ -180,6 +177,14 @@
         failConnection("response without a request")
     }
 
+    /** The head of a second response may begin in a body that stops short of its length, or be all that arrives of that response. */
+    private fun endsInOtherResponse(): Boolean =
+        if (isDelimited) {
+            embeddedResponses.findsAcrossEnd(decoder.followingBytes(MAX_STATUS_LINE_BYTES))
+        } else {
+            embeddedResponses.endsWithinHeaders
+        }
+
     private fun failEmbedded() {
         reportSurplus(SurplusKind.EMBEDDED, null)
         failConnection("the body contains another response")
@@ -192,7 +197,6 @@
         val surplus =
             SurplusResponse(
                 kind = kind,
-                isDelimited = response == null || decoder.isDelimited(response),
                 status = response?.status()?.code(),
                 answeredRequestId = response?.let(attribution::answeredRequestId),
                 pendingRequestId = request?.requestId.takeIf { pending != null },
@@ -239,8 +243,8 @@
     }
 
     private companion object {
-        const val KEEP_ALIVE = "Keep-Alive"
-        const val MS_PER_SECOND = 1_000L
+        /** Enough to recognise a status line. */
+        const val MAX_STATUS_LINE_BYTES = 32
 
         /** Used until an endpoint announces its own idle timeout. */
         const val DEFAULT_KEEP_ALIVE_MS = 5_000L
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointPool.kt
@@ -130,7 +130,7 @@
         surplus: SurplusResponse,
     ) {
         surplusResponses.record(connection.endpoint, surplus)
-        closeIdle(connection.endpoint.id)
+        if (!surplusResponses.permitsReuse(connection.endpoint.id)) closeIdle(connection.endpoint.id)
     }
 
     override fun onReusable(connection: EndpointConnection) {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EndpointResponseDecoder.kt
@@ -1,5 +1,6 @@
 package io.knapweedferry.routing.upstream
 
+import io.netty.buffer.ByteBufUtil
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
@@ -16,6 +17,10 @@
     /** True if a part of a message has arrived that cannot be decoded yet. */
     val hasPartialMessage: Boolean get() = actualReadableBytes() > 0
 
+    /** First bytes, [maxBytes] at most, that have arrived behind the message decoded last. */
+    fun followingBytes(maxBytes: Int): ByteArray =
+        internalBuffer().let { ByteBufUtil.getBytes(it, it.readerIndex(), minOf(maxBytes, it.readableBytes())) }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || (message is HttpResponse && attribution.isBodyless(message))
 
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/SurplusResponse.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/SurplusResponse.kt
@@ -5,8 +5,6 @@
 /** Response, or other data, that an endpoint sent beyond the responses to its requests. */
 internal class SurplusResponse(
     val kind: SurplusKind,
-    /** False for a response that ends with its connection, so that no other one can follow it. */
-    val isDelimited: Boolean,
     /** Null if the data is not a response. */
     val status: Int?,
     /** Request that the response names. */
--- a/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScanSpec.kt
+++ b/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScanSpec.kt
@@ -1,6 +1,7 @@
 package io.knapweedferry.routing.upstream
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
@@ -34,4 +35,29 @@
             assertEquals(body.containsResponse, pieces.any(scan::finds), "pieces of $pieceBytes bytes")
         }
     }
+
+    /** A body and the bytes behind it, which may belong to one status line. */
+    enum class End(
+        val body: String,
+        val following: String,
+        val isCut: Boolean,
+    ) {
+        ONE_BYTE_FILLED("half H", "TTP/1.1 200 OK\r\nX-Mark: 1", true),
+        VERSION_FILLED("half HTTP/1.1", " 503 X\r\nServer: s", true),
+        STATUS_FILLED("half HTTP/1.1 200", " OK\r\nServer: s", true),
+        HEADER_FILLED("half HTTP/1.1 200 OK\r\nSer", "ver: s", true),
+        WHOLE_RESPONSE_FOLLOWS("whole", "HTTP/1.1 200 OK\r\nX-Mark: 1", false),
+        WHOLE_RESPONSE_FOLLOWS_LIKE_LETTER("whole H", "HTTP/1.1 200 OK\r\nX-Mark: 1", false),
+        NOTHING_FOLLOWS("whole, with HTTP/1.1 200", "", false),
+        OTHER_BYTES_FOLLOW("whole H", "Tx", false),
+        OTHER_STATUS_FOLLOWS("whole HTTP/1.", "1 OK", false),
+    }
+
+    @ParameterizedTest
+    @EnumSource(End::class)
+    fun `a body that is filled up with the start of another response is found by the bytes behind it`(end: End) {
+        val scan = EmbeddedResponseScan(setOf("x-mark"))
+        assertFalse(scan.finds(end.body.encodeToByteArray()))
+        assertEquals(end.isCut, scan.findsAcrossEnd(end.following.encodeToByteArray()))
+    }
 }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/SurplusKind.kt
@@ -5,6 +5,9 @@
     /** No request was waiting on the connection. */
     UNREQUESTED,
 
+    /** The response ends with its connection, so the response that is waited for cannot follow it. */
+    UNDELIMITED,
+
     /** The response names another request. */
     OTHER_REQUEST,
 
