--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/CallerListener.kt
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -64,7 +63,7 @@
     private fun accept(channel: SocketChannel) {
         val limits = views.current.table?.limits ?: CallerLimits.DEFAULT
         val connection = CallerConnection(scope, pipeline, protocol, limits, bodyMemory, { isStopping }, this)
-        channel.pipeline().addLast(RequestDecoder(limits.maxHeaderBytes), HttpResponseEncoder(), connection)
+        channel.pipeline().addLast(RequestDecoder(limits.maxHeaderBytes), CallerResponseEncoder(), connection)
     }
 
     /** From now on every response closes its connection, so that callers reconnect elsewhere; requests are still served. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
@@ -5,10 +5,10 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -41,10 +41,18 @@
         headers: HttpHeaders,
         body: ByteArray,
     ) {
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body))
+        val response = responseHead(status)
         response.headers().add(headers)
         if (method != HttpMethod.HEAD) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        writeLast(response)
+        hasStarted = true
+        setConnectionHeader(response)
+        context.write(response)
+        writeLast(DefaultLastHttpContent(Unpooled.wrappedBuffer(body)))
+    }
+
+    private fun responseHead(status: Int): HttpResponse {
+        val httpStatus = HttpResponseStatus.valueOf(status)
+        return if (method == HttpMethod.HEAD) HeadResponse(httpStatus) else DefaultHttpResponse(HttpVersion.HTTP_1_1, httpStatus)
     }
 
     override fun refuse(
@@ -63,7 +71,7 @@
         headers: HttpHeaders,
     ) {
         hasStarted = true
-        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        val response = responseHead(status)
         response.headers().add(headers)
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         setConnectionHeader(response)
@@ -76,20 +84,16 @@
     }
 
     override fun finish() {
-        isFinished = true
-        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        if (closesConnection) written.addListener(ChannelFutureListener.CLOSE)
+        writeLast(LastHttpContent.EMPTY_LAST_CONTENT)
     }
 
     override fun abort() {
         context.close()
     }
 
-    private fun writeLast(response: DefaultFullHttpResponse) {
-        hasStarted = true
+    private fun writeLast(content: LastHttpContent) {
         isFinished = true
-        setConnectionHeader(response)
-        val written = context.writeAndFlush(response)
+        val written = context.writeAndFlush(content)
         if (closesConnection) written.addListener(ChannelFutureListener.CLOSE)
     }
 
