--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -5,6 +5,7 @@
 import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
+import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.fleet.StageBalancer
 import io.knapweedferry.routing.fleet.StageDemands
 import io.knapweedferry.routing.fleet.StageLease
@@ -61,6 +62,7 @@
         CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
     private val scope = CoroutineScope(SupervisorJob() + loop + exceptionHandler)
     private val availability = EndpointAvailability(events)
+    private val services = ServiceAvailability(views, availability)
     private val pool = EndpointPool(group, protocol, availability, SurplusResponses(events, metrics))
     private val selector = EndpointSelector(settings.zone, events, TimeSource.Monotonic)
     private val retryBudgets = RetryBudgets(settings.forwarding.retryPercent, settings.forwarding.retryBurst)
@@ -78,13 +80,13 @@
     private fun isReady() = !isStopping && views.current.isComplete
 
     private fun createPipeline(): CallPipeline {
-        val plain = PlainForwarder(client, selector, retryBudgets, protocol, recorder, settings.forwarding)
+        val plain = PlainForwarder(client, selector, retryBudgets, services, protocol, recorder, settings.forwarding)
         val reservations = EngineReservations(client, selector, protocol, metrics)
-        val admissions = AdmissionController(reservations, selector, stageDemands, scope, metrics)
+        val admissions = AdmissionController(reservations, selector, services, stageDemands, scope, metrics)
         val prefill = PrefillRunner(client, selector, retryBudgets, protocol, settings.forwarding)
         val placements = StreamPlacements(admissions, prefill, selector, settings.forwarding)
-        val stream = StreamForwarder(client, placements, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
-        return CallPipeline(views, plain, stream, retryBudgets, availability, protocol, recorder)
+        val stream = StreamForwarder(client, placements, selector, retryBudgets, services, protocol, promptGuard, settings.forwarding)
+        return CallPipeline(views, plain, stream, retryBudgets, availability, services, protocol, recorder)
     }
 
     /** Starts the listeners for callers and operators. */
--- /dev/null
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/ServiceAvailability.kt
@@ -0,0 +1,26 @@
+package io.knapweedferry.routing.fleet
+
+import io.knapweedferry.api.EndpointId
+import io.knapweedferry.api.ServiceName
+import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.model.RoutingViewHolder
+
+/** Tells whether a request can be sent to any endpoint of its service. Confined to the event loop. */
+internal class ServiceAvailability(
+    private val views: RoutingViewHolder,
+    private val endpoints: EndpointAvailability,
+) {
+    /**
+     * Null if an endpoint of [service] that can run requests accepts them. Endpoints in [tried] do not count while there are
+     * others. A service without endpoints has no outage, because its first one may be about to register.
+     */
+    fun outage(
+        service: ServiceName,
+        tried: Set<EndpointId> = emptySet(),
+    ): ServiceOutage? {
+        val listed = views.current.serving(service).filter { it.stage != EndpointStage.PREFILL }
+        val usable = listed.filterNot { it.id in tried }.ifEmpty { listed }
+        if (usable.isEmpty() || usable.any(endpoints::accepts)) return null
+        return ServiceOutage(usable.filterNot(endpoints::isLeaving).minOfOrNull(endpoints::remainingPauseMs))
+    }
+}
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionController.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionController.kt
@@ -3,6 +3,7 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.routing.fleet.EndpointSelector
+import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.fleet.StageDemands
 import io.knapweedferry.routing.model.EndpointStage
 import io.knapweedferry.routing.model.EngineProfile
@@ -19,6 +20,7 @@
 internal class AdmissionController(
     private val reservations: EngineReservations,
     private val selector: EndpointSelector,
+    private val services: ServiceAvailability,
     private val stageDemands: StageDemands,
     private val scope: CoroutineScope,
     private val metrics: RoutingMetrics,
@@ -26,13 +28,13 @@
 ) {
     private val queues = HashMap<ServiceName, AdmissionQueue>()
 
-    /** Waits for a reservation; null if none was granted within [waitMs], or earlier if the forecast wait exceeds the time left. */
+    /** Waits for a reservation; null if none was granted within [waitMs], or earlier if none can be granted in time. */
     suspend fun admit(
         ticket: AdmissionTicket,
         engine: EngineProfile,
         waitMs: Long,
     ): Admission? {
-        val queue = queues.getOrPut(ticket.job.service.name) { AdmissionQueue(reservations, selector, scope, timeSource) }
+        val queue = queues.getOrPut(ticket.job.service.name) { AdmissionQueue(reservations, selector, services, scope, timeSource) }
         val began = timeSource.markNow()
         val wait = queue.add(ticket, engine, waitMs)
         try {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionQueue.kt
@@ -4,6 +4,7 @@
 import io.knapweedferry.policy.admission.GrantRateEstimator
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
+import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.model.EngineProfile
 import io.knapweedferry.routing.model.RoutedEndpoint
 import kotlinx.coroutines.CoroutineScope
@@ -22,6 +23,7 @@
 internal class AdmissionQueue(
     private val reservations: EngineReservations,
     private val selector: EndpointSelector,
+    private val services: ServiceAvailability,
     private val scope: CoroutineScope,
     private val timeSource: TimeSource,
 ) {
@@ -83,17 +85,27 @@
     /** The order of two requests may change with time, so positions are read once before sorting. */
     private fun inPriorityOrder(): List<AdmissionTicket> = tickets.map { it to it.queuePosition }.sortedBy { it.second }.map { it.first }
 
-    /** Refuses requests that would not be admitted in time at the rate of recent grants, or whose run could outlast this process. */
+    /**
+     * Refuses requests that would not be admitted in time at the rate of recent grants, whose engines do not return from a
+     * pause in time, or whose run could outlast this process. Streams that have begun wait for any engine that may register.
+     */
     private fun refuseUnservable() {
         inPriorityOrder().forEachIndexed { ahead, ticket ->
             if (ticket in pendingReservations || ticket.isResumed) return@forEachIndexed
             if (ticket.outlastsProcess) return@forEachIndexed refuse(ticket, "stopping:$ahead")
+            if (isOutOfReach(ticket)) return@forEachIndexed refuse(ticket, "unavailable:$ahead")
             val forecastMs = grantRate.waitMs(ahead) ?: return@forEachIndexed
-            if (forecastMs <= -ticket.waitDeadline.elapsedNow().inWholeMilliseconds) return@forEachIndexed
+            if (forecastMs <= ticket.remainingWaitMs) return@forEachIndexed
             refuse(ticket, "hopeless:$ahead/${forecastMs.toInt()}")
         }
     }
 
+    /** True if all engines that [ticket] could use are leaving, or paused for longer than it may wait. */
+    private fun isOutOfReach(ticket: AdmissionTicket): Boolean {
+        val outage = services.outage(ticket.job.service.name, ticket.tried) ?: return false
+        return outage.returnsAfterMs == null || outage.returnsAfterMs > ticket.remainingWaitMs
+    }
+
     private fun refuse(
         ticket: AdmissionTicket,
         step: String,
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionTicket.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/AdmissionTicket.kt
@@ -16,8 +16,8 @@
     /** Expected time from admission to the first event. */
     private val timeToFirstEventMs: Double,
     private val candidates: () -> List<RoutedEndpoint>,
-    /** Engines that this request has already tried. */
-    private val excluded: Set<EndpointId>,
+    /** Engines that this request has already tried; it is not sent there again. */
+    val tried: Set<EndpointId>,
 ) {
     /** True if this process stops and might end before the run of this request, even if it were admitted now. */
     val outlastsProcess: Boolean get() = !isResumed && RunTimeEstimate(job).outlastsProcess
@@ -29,6 +29,8 @@
     lateinit var waitDeadline: TimeMark
     private var isReceived = false
 
+    val remainingWaitMs: Long get() = -waitDeadline.elapsedNow().inWholeMilliseconds
+
     /** Waits for the admission and marks it as received. */
     suspend fun await(): Admission? = admission.await().also { isReceived = true }
 
@@ -36,7 +38,7 @@
     @OptIn(ExperimentalCoroutinesApi::class)
     fun unreceivedAdmission(): Admission? = if (admission.isCompleted && !isReceived) admission.getCompleted() else null
 
-    fun candidateEngines(): List<RoutedEndpoint> = candidates().filterNot { it.id in excluded }
+    fun candidateEngines(): List<RoutedEndpoint> = candidates().filterNot { it.id in tried }
 
     /**
      * Order: resumed streams, then requests that can still meet their target latency, then retries, which are often the last
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -5,7 +5,7 @@
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.fleet.RetryBudgets
-import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.model.Route
 import io.knapweedferry.routing.model.RouteKind
 import io.knapweedferry.routing.model.RoutingView
@@ -25,6 +25,7 @@
     private val stream: StreamForwarder,
     private val retryBudgets: RetryBudgets,
     private val availability: EndpointAvailability,
+    private val services: ServiceAvailability,
     private val protocol: UpstreamProtocol,
     private val recorder: CallRecorder,
     private val random: Random = Random.Default,
@@ -131,7 +132,7 @@
         // Evaluated for each attempt, so that an endpoint that started to drain meanwhile gets no retry.
         val candidates = { views.current.serving(job.service.name).filter(availability::accepts) }
         if (!job.fitsEngine) return job.refuse(LocalResponse.TOO_MANY_TOKENS)
-        if (refuseIfNoneAccepts(job)) return
+        services.outage(job.service.name)?.let { return job.refuse(it) }
         val isModelRequest = job.service.engine != null
         if (!isModelRequest && job.route.kind != RouteKind.STREAM) return plain.forward(job, candidates)
         if (isModelRequest) runningModelRequests++
@@ -142,15 +143,6 @@
         }
     }
 
-    /** Refuses the request of [job] if all endpoints that could run it are leaving or paused. */
-    private fun refuseIfNoneAccepts(job: ForwardingJob): Boolean {
-        val listed = views.current.serving(job.service.name).filter { it.stage != EndpointStage.PREFILL }
-        if (listed.isEmpty() || listed.any(availability::accepts)) return false
-        val pauseMs = listed.filterNot(availability::isLeaving).minOfOrNull(availability::remainingPauseMs)
-        if (pauseMs == null) job.refuse(LocalResponse.NO_ENDPOINT) else job.refuse(LocalResponse.ENDPOINTS_PAUSED, pauseMs)
-        return true
-    }
-
     private fun expire(job: ForwardingJob) {
         if (job.reply.isFinished) return
         if (!job.reply.hasStarted) return job.refuse(expiryResponse(job))
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/ForwardingJob.kt
@@ -3,6 +3,7 @@
 import io.knapweedferry.routing.call.AttemptTerms
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.call.UpstreamProtocol
+import io.knapweedferry.routing.fleet.ServiceOutage
 import io.knapweedferry.routing.model.Route
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.model.ServiceProfile
@@ -73,6 +74,12 @@
         recorder.recordRefused(record, response)
     }
 
+    /** Refuses a request that none of its endpoints accepts; the caller is told when the first one returns. */
+    fun refuse(outage: ServiceOutage) {
+        val pauseMs = outage.returnsAfterMs ?: return refuse(LocalResponse.NO_ENDPOINT)
+        refuse(LocalResponse.ENDPOINTS_PAUSED, pauseMs)
+    }
+
     /**
      * Callers accept a delay of up to a third of their remaining time. Engines that were full for as long as a model request
      * could wait stay full for seconds, so its caller should retry as late as possible; a plain service is soon free again.
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/PlainForwarder.kt
@@ -5,6 +5,7 @@
 import io.knapweedferry.routing.fleet.EndpointChoice
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
+import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.upstream.AttemptFailure
 import kotlinx.coroutines.withTimeoutOrNull
@@ -17,6 +18,7 @@
     private val client: EndpointClient,
     private val selector: EndpointSelector,
     private val retryBudgets: RetryBudgets,
+    private val services: ServiceAvailability,
     private val protocol: UpstreamProtocol,
     private val recorder: CallRecorder,
     private val settings: ForwardingSettings,
@@ -82,7 +84,9 @@
         private fun respondWithFailure() {
             val response = errorResponse
             if (response != null) return job.deliver(response)
-            job.refuse(if (record.mayHaveRun) LocalResponse.ANSWER_LOST else refusal)
+            if (record.mayHaveRun) return job.refuse(LocalResponse.ANSWER_LOST)
+            val outage = services.outage(job.service.name)
+            if (outage == null) job.refuse(refusal) else job.refuse(outage)
         }
 
         private suspend fun attempt(
