--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -61,7 +61,7 @@
     private val exceptionHandler =
         CoroutineExceptionHandler { _, cause -> events.write(LogEvent.UNCAUGHT_ERROR, "detail" to cause.stackTraceToString()) }
     private val scope = CoroutineScope(SupervisorJob() + loop + exceptionHandler)
-    private val availability = EndpointAvailability(events)
+    private val availability = EndpointAvailability(events, metrics)
     private val services = ServiceAvailability(views, availability)
     private val pool = EndpointPool(group, protocol, availability, SurplusResponses(events, metrics))
     private val selector = EndpointSelector(settings.zone, events, TimeSource.Monotonic)
@@ -119,9 +119,11 @@
         }
     }
 
-    /** Drops connections and state of endpoints that have left the fleet. */
+    /** Drops connections and state of endpoints that have left the fleet, and ends pauses that no request asked about. */
     private fun pruneEndpoints() {
         val known = views.current.endpoints.keys
+        views.current.endpoints.values
+            .forEach(availability::remainingPauseMs)
         pool.retain(known)
         selector.retain(known)
     }
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointAvailability.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/EndpointAvailability.kt
@@ -3,8 +3,10 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.routing.call.EndpointNotice
 import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.telemetry.AvailabilityChange
 import io.knapweedferry.telemetry.EventLog
 import io.knapweedferry.telemetry.LogEvent
+import io.knapweedferry.telemetry.RoutingMetrics
 import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,6 +18,7 @@
  */
 internal class EndpointAvailability(
     private val events: EventLog,
+    private val metrics: RoutingMetrics,
     private val timeSource: TimeSource.WithComparableMarks = TimeSource.Monotonic,
     private val random: Random = Random.Default,
 ) {
@@ -53,6 +56,7 @@
         val remainingMs = -until.elapsedNow().inWholeMilliseconds
         if (remainingMs > 0) return remainingMs
         state.pausedUntil = null
+        metrics.countAvailabilityChange(AvailabilityChange.PAUSE_ENDED)
         events.write(LogEvent.ENDPOINT_PAUSE_ENDED, "endpoint" to endpoint.id.value)
         return 0
     }
@@ -64,6 +68,7 @@
         val state = stateOrNew(endpoint)
         if (state.isLeaving) return
         state.isLeaving = true
+        metrics.countAvailabilityChange(AvailabilityChange.LEAVING)
         events.write(LogEvent.ENDPOINT_ANNOUNCED_LEAVING, "endpoint" to endpoint.id.value, "status" to status)
     }
 
@@ -78,13 +83,16 @@
         val former = state.pausedUntil
         if (former != null && former >= until) return
         state.pausedUntil = until
-        if (former == null) events.write(LogEvent.ENDPOINT_PAUSED, "endpoint" to endpoint.id.value, "pause_ms" to pauseMs)
+        if (former != null) return metrics.countAvailabilityChange(AvailabilityChange.PAUSE_EXTENDED)
+        metrics.countAvailabilityChange(AvailabilityChange.PAUSED)
+        events.write(LogEvent.ENDPOINT_PAUSED, "endpoint" to endpoint.id.value, "pause_ms" to pauseMs)
     }
 
     private fun logInvalidPause(
         endpoint: RoutedEndpoint,
         text: String,
     ) {
+        metrics.countAvailabilityChange(AvailabilityChange.PAUSE_INVALID)
         val state = stateOrNew(endpoint)
         if (state.hasLoggedInvalidPause) return
         state.hasLoggedInvalidPause = true
--- a/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/fleet/EndpointAvailabilitySpec.kt
+++ b/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/fleet/EndpointAvailabilitySpec.kt
@@ -5,7 +5,9 @@
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.routing.call.EndpointNotice
 import io.knapweedferry.routing.model.RoutedEndpoint
+import io.knapweedferry.telemetry.AvailabilityChange
 import io.knapweedferry.telemetry.EventLog
+import io.knapweedferry.telemetry.RoutingMetrics
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -20,7 +22,8 @@
 internal class EndpointAvailabilitySpec {
     private val time = TestTimeSource()
     private val lines = mutableListOf<String>()
-    private val availability = EndpointAvailability(EventLog(sink = { _, line -> lines += line }), time, Random(1))
+    private val metrics = RoutingMetrics(emptyList(), emptyList(), emptyList())
+    private val availability = EndpointAvailability(EventLog(sink = { _, line -> lines += line }), metrics, time, Random(1))
 
     private fun endpoint(
         id: String = "e",
@@ -83,7 +86,7 @@
     fun `instances return at different times`() {
         val remaining =
             List(20) { seed ->
-                EndpointAvailability(EventLog(sink = { _, _ -> }), time, Random(seed))
+                EndpointAvailability(EventLog(sink = { _, _ -> }), metrics, time, Random(seed))
                     .apply { record(endpoint(), 503, EndpointNotice(pauseMs = 5_000)) }
                     .remainingPauseMs(endpoint())
             }
@@ -99,6 +102,40 @@
         assertEquals(4, lines.size, "$lines")
     }
 
+    /** Changes that [notices] make, and how often each is counted; `-` stands for the time until all pauses have ended. */
+    enum class Counted(
+        val notices: String,
+        val change: AvailabilityChange,
+        val count: Int,
+    ) {
+        LEAVING_TWICE("leaving leaving", AvailabilityChange.LEAVING, 1),
+        PAUSE_TWICE("1000 - 1000", AvailabilityChange.PAUSED, 2),
+        PAUSE_WITHIN_A_PAUSE("3000 1000", AvailabilityChange.PAUSED, 1),
+        LONGER_PAUSE("1000 3000", AvailabilityChange.PAUSE_EXTENDED, 1),
+        SHORTER_PAUSE("3000 1000", AvailabilityChange.PAUSE_EXTENDED, 0),
+        END_OF_EACH_PAUSE("1000 - 1000 3000 -", AvailabilityChange.PAUSE_ENDED, 2),
+        PAUSE_THAT_GOES_ON("1000", AvailabilityChange.PAUSE_ENDED, 0),
+        EACH_UNREADABLE_PAUSE("soon soon", AvailabilityChange.PAUSE_INVALID, 2),
+    }
+
+    @ParameterizedTest
+    @EnumSource(Counted::class)
+    fun `changes of availability are counted`(case: Counted) {
+        case.notices.split(" ").forEach { notice ->
+            when (notice) {
+                "-" -> time += LONGEST_MS.milliseconds
+                "leaving" -> availability.record(endpoint(), 200, EndpointNotice(isLeaving = true))
+                "soon" -> availability.record(endpoint(), 503, EndpointNotice(invalidPause = notice))
+                else -> pause(notice.toLong())
+            }
+            availability.remainingPauseMs(endpoint())
+        }
+        val name = "knapweedferry_routed_endpoint_availability_changes_total"
+        val label = case.change.name.lowercase()
+        val line = metrics.scrape().lines().single { it.startsWith("$name{") && "change=\"$label\"" in it }
+        assertEquals(case.count.toDouble(), line.substringAfterLast(' ').toDouble())
+    }
+
     @Test
     fun `the marks of many endpoints are bounded and the latest ones are kept`() {
         repeat(5_000) { availability.record(endpoint("e$it"), 200, EndpointNotice(isLeaving = true)) }
--- a/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/RoutingMetrics.kt
+++ b/knapweedferry-telemetry/src/main/kotlin/io/knapweedferry/telemetry/RoutingMetrics.kt
@@ -30,6 +30,8 @@
     private val brokenRuns = listOf(true, false).associateWith { meters.counter("routed.runs.broken", "begun" to "$it") }
     private val surplusResponses =
         SurplusKind.entries.associateWith { meters.counter("routed.surplus.responses", "kind" to it.label) }
+    private val availabilityChanges =
+        AvailabilityChange.entries.associateWith { meters.counter("routed.endpoint.availability.changes", "change" to it.label) }
     private val admissionWaitTimes = Rank.entries.associateWith { meters.timer("routed.gate.wait", it, RESPONSE_BOUNDS_MS) }
     private val disconnects = meters.counter("routed.callers.gone")
     private val successfulStoreCalls = storeCalls.associateWith { meters.counter("store.calls", "call" to it, "result" to "ok") }
@@ -81,6 +83,9 @@
     /** Counts a response, or other data, of an endpoint that belongs to no waiting request. */
     public fun countSurplusResponse(kind: SurplusKind): Unit = surplusResponses.getValue(kind).increment()
 
+    /** Counts what an endpoint said about its availability, and the ends of pauses. */
+    public fun countAvailabilityChange(change: AvailabilityChange): Unit = availabilityChanges.getValue(change).increment()
+
     /** Counts a caller that disconnected before its response was complete. */
     public fun countDisconnectedCaller(): Unit = disconnects.increment()
 
