--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/RoutedEntry.kt
@@ -84,9 +84,9 @@
         val reservations = EngineReservations(client, selector, protocol, metrics)
         val admissions = AdmissionController(reservations, selector, services, stageDemands, scope, metrics)
         val prefill = PrefillRunner(client, selector, retryBudgets, protocol, settings.forwarding)
-        val placements = StreamPlacements(admissions, prefill, selector, settings.forwarding)
-        val stream = StreamForwarder(client, placements, selector, retryBudgets, services, protocol, promptGuard, settings.forwarding)
-        return CallPipeline(views, plain, stream, retryBudgets, availability, services, protocol, recorder)
+        val placements = StreamPlacements(admissions, prefill, selector, services, settings.forwarding)
+        val stream = StreamForwarder(client, placements, selector, retryBudgets, protocol, promptGuard, settings.forwarding)
+        return CallPipeline(views, plain, stream, retryBudgets, services, protocol, recorder)
     }
 
     /** Starts the listeners for callers and operators. */
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/ServiceAvailability.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/fleet/ServiceAvailability.kt
@@ -3,6 +3,7 @@
 import io.knapweedferry.api.EndpointId
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.routing.model.EndpointStage
+import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.model.RoutingViewHolder
 
 /** Tells whether a request can be sent to any endpoint of its service. Confined to the event loop. */
@@ -10,6 +11,9 @@
     private val views: RoutingViewHolder,
     private val endpoints: EndpointAvailability,
 ) {
+    /** Endpoints of [service] that accept requests now. */
+    fun accepting(service: ServiceName): List<RoutedEndpoint> = views.current.serving(service).filter(endpoints::accepts)
+
     /**
      * Null if an endpoint of [service] that can run requests accepts them. Endpoints in [tried] do not count while there are
      * others. A service without endpoints has no outage, because its first one may be about to register.
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/CallPipeline.kt
@@ -3,7 +3,6 @@
 import io.knapweedferry.api.ServiceName
 import io.knapweedferry.routing.call.CallRequest
 import io.knapweedferry.routing.call.UpstreamProtocol
-import io.knapweedferry.routing.fleet.EndpointAvailability
 import io.knapweedferry.routing.fleet.RetryBudgets
 import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.model.Route
@@ -24,7 +23,6 @@
     private val plain: PlainForwarder,
     private val stream: StreamForwarder,
     private val retryBudgets: RetryBudgets,
-    private val availability: EndpointAvailability,
     private val services: ServiceAvailability,
     private val protocol: UpstreamProtocol,
     private val recorder: CallRecorder,
@@ -130,7 +128,7 @@
 
     private suspend fun forward(job: ForwardingJob) {
         // Evaluated for each attempt, so that an endpoint that started to drain meanwhile gets no retry.
-        val candidates = { views.current.serving(job.service.name).filter(availability::accepts) }
+        val candidates = { services.accepting(job.service.name) }
         if (!job.fitsEngine) return job.refuse(LocalResponse.TOO_MANY_TOKENS)
         services.outage(job.service.name)?.let { return job.refuse(it) }
         val isModelRequest = job.service.engine != null
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/StreamForwarder.kt
@@ -8,7 +8,6 @@
 import io.knapweedferry.routing.call.UpstreamProtocol
 import io.knapweedferry.routing.fleet.EndpointSelector
 import io.knapweedferry.routing.fleet.RetryBudgets
-import io.knapweedferry.routing.fleet.ServiceAvailability
 import io.knapweedferry.routing.model.RoutedEndpoint
 import io.knapweedferry.routing.upstream.AttemptFailure
 import io.knapweedferry.routing.upstream.ResponseHead
@@ -23,7 +22,6 @@
     private val placements: StreamPlacements,
     private val selector: EndpointSelector,
     private val retryBudgets: RetryBudgets,
-    private val services: ServiceAvailability,
     private val protocol: UpstreamProtocol,
     private val guard: PromptGuard,
     private val settings: ForwardingSettings,
@@ -264,14 +262,9 @@
                 record.mayHaveRun -> job.refuse(LocalResponse.ANSWER_LOST)
                 reason != null -> job.refuse(LocalResponse.PROMPT_QUARANTINED, reason.remainingMs)
                 refusal == LocalResponse.ENTRY_STOPPING -> job.refuse(refusal)
-                else -> refuseNotRun()
+                else -> placements.outage(job)?.let { job.refuse(it) } ?: job.refuse(refusal)
             }
         }
-
-        private fun refuseNotRun() {
-            val outage = services.outage(job.service.name)
-            if (outage == null) job.refuse(refusal) else job.refuse(outage)
-        }
     }
 
     /** A request that was sent to an engine. */
