--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpEngine.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpEngine.kt
@@ -16,7 +16,7 @@
     baseUrl: String,
     private val timeoutMs: Long = DEFAULT_TIMEOUT_MS,
 ) : Engine {
-    private val http = HttpApiClient(transport.pooled, baseUrl)
+    private val http = HttpApiClient(transport.client, baseUrl)
     private val tokenStream = HttpTokenStream(transport.streaming, http.url("generate"))
 
     override suspend fun prefill(request: PrefillRequest): Either<PlatformError, PrefillResult> {
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpTokenStream.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/engine/HttpTokenStream.kt
@@ -39,14 +39,13 @@
                         .tag(SentFlag::class.java, sentFlag)
                         .build(),
                 )
-            call.enqueue(EventCallback(this, sentFlag, client))
+            call.enqueue(EventCallback(this, sentFlag))
             awaitClose { call.cancel() }
         }
 
     private class EventCallback(
         private val events: ProducerScope<EngineEvent>,
         private val sentFlag: SentFlag,
-        private val client: OkHttpClient,
     ) : Callback {
         override fun onFailure(
             call: Call,
@@ -98,7 +97,7 @@
                     )
             }
 
-        private fun failed(error: IOException): EngineEvent = EngineEvent.Broken(HttpErrorMapper.ofException(client, error, sentFlag))
+        private fun failed(error: IOException): EngineEvent = EngineEvent.Broken(HttpErrorMapper.ofException(error, sentFlag))
 
         private fun end(last: EngineEvent) {
             events.trySendBlocking(last)
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpApiClient.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpApiClient.kt
@@ -83,7 +83,7 @@
                     override fun onFailure(
                         call: Call,
                         e: IOException,
-                    ) = continuation.resume(HttpErrorMapper.ofException(client, e, sentFlag).left())
+                    ) = continuation.resume(HttpErrorMapper.ofException(e, sentFlag).left())
 
                     override fun onResponse(
                         call: Call,
@@ -107,7 +107,7 @@
                 BufferedResponse(response.code, contentType, response.body.string()).right()
             }
         } catch (e: IOException) {
-            HttpErrorMapper.ofException(client, e, sentFlag).left()
+            HttpErrorMapper.ofException(e, sentFlag).left()
         }
 
     companion object {
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpErrorMapper.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpErrorMapper.kt
@@ -2,9 +2,7 @@
 
 import io.knapweedferry.platform.PlatformError
 import kotlinx.serialization.SerializationException
-import okhttp3.OkHttpClient
 import java.io.IOException
-import java.io.InterruptedIOException
 import java.net.HttpURLConnection.HTTP_BAD_REQUEST
 import java.net.HttpURLConnection.HTTP_INTERNAL_ERROR
 import java.net.HttpURLConnection.HTTP_UNAVAILABLE
@@ -15,12 +13,9 @@
 
     /** Maps an exchange that failed before a complete response was received. */
     fun ofException(
-        client: OkHttpClient,
         error: IOException,
         sentFlag: SentFlag,
     ): PlatformError {
-        // A timeout may mean that the network path dropped its connection state; other idle connections would then time out, too.
-        if (error is InterruptedIOException) client.connectionPool.evictAll()
         val text = error.message ?: error.javaClass.simpleName
         if (!sentFlag.sent) return PlatformError.NotSent("could not connect ($text); check the address and that the server is running")
         return PlatformError.NoResponse("no response after sending ($text); find out whether the request took effect before repeating it")
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpTransport.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpTransport.kt
@@ -8,7 +8,11 @@
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 
-/** HTTP connections and threads shared by all adapters of a process. Never retries or redirects a request on its own. */
+/**
+ * HTTP clients and threads shared by all adapters of a process. Never retries or redirects a request on its own, and opens a new
+ * connection for each request: responses do not name their request, so on a connection that is used again a late second response
+ * to an earlier request would be taken for the response to the next one.
+ */
 public class HttpTransport(
     settings: HttpTransportSettings = HttpTransportSettings(),
 ) : AutoCloseable {
@@ -17,12 +21,13 @@
             Thread(task, "platform-http").apply { isDaemon = true }
         }
 
-    /** For calls that are safe to retry. Uses persistent connections. */
-    internal val pooled: OkHttpClient =
+    /** For requests with a timeout of their own. */
+    internal val client: OkHttpClient =
         OkHttpClient
             .Builder()
             .dispatcher(dispatcher(settings))
-            .connectionPool(ConnectionPool(settings.maxIdleConnections, settings.keepAliveMs, TimeUnit.MILLISECONDS))
+            // Without "Connection: close" in the request: a server may then omit the length, and a truncated body looks complete.
+            .connectionPool(ConnectionPool(maxIdleConnections = 0, keepAliveDuration = 1, TimeUnit.MILLISECONDS))
             .protocols(listOf(Protocol.HTTP_1_1))
             .connectTimeout(settings.connectTimeoutMs, TimeUnit.MILLISECONDS)
             // The call timeout limits the whole exchange instead.
@@ -34,29 +39,17 @@
             .addNetworkInterceptor(SentFlagInterceptor)
             .build()
 
-    /**
-     * For calls that must not be retried. Opens a new connection for each call: if a persistent connection is closed by the
-     * other side at the time of sending, the failure cannot be distinguished from a lost response.
-     */
-    internal val unpooled: OkHttpClient =
-        pooled
-            .newBuilder()
-            .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
-            .build()
-
     /** For token streams. */
     internal val streaming: OkHttpClient =
-        pooled
+        client
             .newBuilder()
             .readTimeout(settings.streamIdleTimeoutMs, TimeUnit.MILLISECONDS)
             .callTimeout(settings.streamTimeoutMs, TimeUnit.MILLISECONDS)
             .build()
 
     override fun close() {
-        pooled.dispatcher.cancelAll()
+        client.dispatcher.cancelAll()
         executor.shutdown()
-        pooled.connectionPool.evictAll()
-        unpooled.connectionPool.evictAll()
     }
 
     private fun dispatcher(settings: HttpTransportSettings): Dispatcher =
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpTransportSettings.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpTransportSettings.kt
@@ -9,7 +9,4 @@
     val streamTimeoutMs: Long = 600_000,
     /** Each concurrent call occupies a thread. Further calls are queued without a timeout. */
     val maxConcurrentCalls: Int = 1_024,
-    val maxIdleConnections: Int = 8,
-    /** Shorter than the idle timeout of common servers, so that a server rarely closes a connection just before its reuse. */
-    val keepAliveMs: Long = 10_000,
 )
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/instance/HttpInstanceList.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/instance/HttpInstanceList.kt
@@ -12,7 +12,7 @@
     baseUrl: String,
     private val timeoutMs: Long = DEFAULT_TIMEOUT_MS,
 ) : InstanceList {
-    private val http = HttpApiClient(transport.pooled, baseUrl)
+    private val http = HttpApiClient(transport.client, baseUrl)
 
     override suspend fun list(): Either<PlatformError, List<ListedInstance>> =
         http.get(http.url("instances"), timeoutMs, ListSerializer(ListedInstance.serializer()))
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/HttpAppendLog.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/log/HttpAppendLog.kt
@@ -12,7 +12,7 @@
     baseUrl: String,
     private val timeoutMs: Long = DEFAULT_TIMEOUT_MS,
 ) : AppendLog {
-    private val http = HttpApiClient(transport.pooled, baseUrl)
+    private val http = HttpApiClient(transport.client, baseUrl)
 
     override suspend fun append(
         stream: StreamName,
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/service/HttpService.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/service/HttpService.kt
@@ -24,7 +24,7 @@
     transport: HttpTransport,
     baseUrl: String,
 ) : Service {
-    private val http = HttpApiClient(transport.unpooled, baseUrl)
+    private val http = HttpApiClient(transport.client, baseUrl)
 
     override suspend fun call(request: ServiceRequest): Either<PlatformError, ServiceResult> {
         val httpRequest =
--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/weight/HttpWeightStore.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/weight/HttpWeightStore.kt
@@ -12,7 +12,7 @@
     baseUrl: String,
     private val timeoutMs: Long = DEFAULT_TIMEOUT_MS,
 ) : WeightStore {
-    private val http = HttpApiClient(transport.pooled, baseUrl)
+    private val http = HttpApiClient(transport.client, baseUrl)
 
     override suspend fun describe(
         model: ModelName,
