--- a/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpApiClient.kt
+++ b/knapweedferry-platform/src/main/kotlin/io/knapweedferry/platform/http/HttpApiClient.kt
@@ -104,7 +104,7 @@
                 PlatformError.InvalidResponse("response exceeds $MAX_BODY_BYTES bytes; request less data at once").left()
             } else {
                 val contentType = response.header("Content-Type") ?: "application/octet-stream"
-                BufferedResponse(response.code, contentType, response.body.string()).right()
+                requireSingle(BufferedResponse(response.code, contentType, response.body.string()))
             }
         } catch (e: IOException) {
             HttpErrorMapper.ofException(e, sentFlag).left()
@@ -119,6 +119,11 @@
             value: T,
         ): RequestBody = WireJson.encodeToString(serializer, value).toRequestBody(JSON_TYPE)
 
+        private fun requireSingle(response: BufferedResponse): Either<PlatformError, BufferedResponse> {
+            if (!EmbeddedResponseCheck.isIn(response)) return response.right()
+            return PlatformError.InvalidResponse("the body contains another response; take the server out of use").left()
+        }
+
         private fun requireSuccess(response: BufferedResponse): Either<PlatformError, BufferedResponse> =
             if (response.status / STATUS_CLASS == 2) response.right() else HttpErrorMapper.ofStatus(response).left()
 
--- a/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/RepeatedPlatformResponseSpec.kt
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/RepeatedPlatformResponseSpec.kt
@@ -1,5 +1,8 @@
 package io.knapweedferry.testing.adapter
 
+import arrow.core.Either
+import io.knapweedferry.platform.engine.EngineEvent
+import io.knapweedferry.platform.service.ServiceResult
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotEquals
@@ -48,6 +51,58 @@
         assertEquals(emptyList<String>(), failures, "${failures.size} of ${Copy.entries.size * Moment.entries.size} cases")
     }
 
+    /** First response to a request that ends where only the second one shows it. */
+    enum class Unfinished(
+        val of: (ScriptedReply) -> String,
+    ) {
+        WITHOUT_LENGTH({ it.withoutLength }),
+        CUT_IN_BODY({ it.cutInBody }),
+        WITHOUT_LAST_10_CHARS({ it.whole.dropLast(10) }),
+        WITHOUT_LAST_5_CHARS({ it.whole.dropLast(5) }),
+        WITHOUT_LAST_CHAR({ it.whole.dropLast(1) }),
+    }
+
+    @ParameterizedTest
+    @EnumSource(PlatformCall::class)
+    fun `a second response is not delivered as part of the first one`(call: PlatformCall) {
+        val own = results(call) { write(it.whole) }.first()
+        val failures =
+            Unfinished.entries.flatMap { first ->
+                listOf(0L, LATE_MS).mapNotNull { delayMs ->
+                    val actual =
+                        results(call, calls = 1) {
+                            write(first.of(it))
+                            Thread.sleep(delayMs)
+                            write(it.whole)
+                            close()
+                        }.single()
+                    "$first $delayMs ms: $actual".takeIf { actual != own && !isFailure(actual, own) }
+                }
+            }
+        assertEquals(emptyList<String>(), failures, "${failures.size} of ${Unfinished.entries.size * 2} cases")
+    }
+
+    /** Body of a service that resembles a second response. */
+    enum class SoundBody(
+        val contentType: String,
+        val text: String,
+    ) {
+        STATUS_LINE_IN_JSON("application/json", """{"cause":"HTTP/1.1 502 Bad Gateway\nServer: s"}"""),
+        STATUS_LINE_IN_TEXT("text/plain", "The gateway answered HTTP/1.1 502 Bad Gateway\nand closed"),
+        STATUS_LINE_AT_END("text/plain", "The gateway answered HTTP/1.1 502 Bad Gateway"),
+        REQUEST_LINE("text/plain", "GET / HTTP/1.1\nHost: h"),
+        TEXT_LABELLED_AS_JSON("application/json", "stamped"),
+        EMPTY_LABELLED_AS_JSON("application/json", ""),
+    }
+
+    @ParameterizedTest
+    @EnumSource(SoundBody::class)
+    fun `a response of a service that quotes another response is delivered`(body: SoundBody) {
+        val response = "HTTP/1.1 200 X\r\nContent-Type: ${body.contentType}\r\nContent-Length: ${body.text.length}\r\n\r\n${body.text}"
+        val results = results(PlatformCall.SERVICE, calls = 1) { write(response) }
+        assertEquals(listOf(Either.Right(ServiceResult(200, body.contentType, body.text))), results)
+    }
+
     private fun resultsWithCopy(
         call: PlatformCall,
         copy: Copy,
@@ -87,18 +142,31 @@
     private fun results(
         call: PlatformCall,
         betweenCalls: () -> Unit = {},
+        calls: Int = 2,
         respond: ScriptedExchange.(ScriptedReply) -> Unit,
     ): List<Any> =
         ScriptedServer { respond(call.replies[number - 1]) }.use { server ->
             PlatformClients(server.url).use { clients ->
-                (1..2).map { number ->
+                (1..calls).map { number ->
                     if (number > 1) betweenCalls()
                     runBlocking { call.run(clients, number) }
                 }
             }
         }
 
+    /** True if [result] reports a failure, after no other tokens than those of [own]. */
+    private fun isFailure(
+        result: Any,
+        own: Any,
+    ): Boolean =
+        when (result) {
+            is Either<*, *> -> result.isLeft()
+            is List<*> -> result.last() is EngineEvent.Broken && (own as List<*>).containsAll(result.dropLast(1))
+            else -> false
+        }
+
     private companion object {
+        const val LATE_MS = 20L
         const val AWAIT_SECONDS = 5L
     }
 }
--- a/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/ScriptedExchange.kt
+++ b/knapweedferry-testing/src/test/kotlin/io/knapweedferry/testing/adapter/ScriptedExchange.kt
@@ -14,4 +14,6 @@
     fun write(text: String) {
         socket.getOutputStream().write(text.encodeToByteArray())
     }
+
+    fun close() = socket.close()
 }
