--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EndpointClient.kt
@@ -132,23 +132,27 @@
         for (maxIdleMs in listOf(Long.MAX_VALUE, null)) {
             val connection = pool.acquire(endpoint, maxIdleMs).getOrElse { return it.left() }
             if (!isPermitted()) return notSent(connection, "the permission to send it has expired")
-            val response = exchange(connection, request).getOrElse { return it.left() }
-            val isOwn = check.isOwn(response, connection.mayCarryCopies)
-            connection.release(isOwn)
-            if (isOwn) return response.right()
+            val response = exchange(connection, request, check).getOrElse { return it.left() }
+            if (response != null) return response.right()
         }
         return AttemptFailure.NoResponse(REPEATED_RESPONSE).left()
     }
 
+    /** Null if the response fails [check]. Whatever ends the exchange, the connection is back in the pool or closed afterwards. */
     private suspend fun exchange(
         connection: EndpointConnection,
         request: ControlRequest,
-    ): Either<AttemptFailure, BufferedResponse> {
-        val pending = connection.sendOrClose { outboundRequest(connection.endpoint, request) }
+        check: ResponseCheck,
+    ): Either<AttemptFailure, BufferedResponse?> {
+        var isReleased = false
         try {
-            return readShort(pending)
+            return readShort(connection.send(outboundRequest(connection.endpoint, request))).map { response ->
+                val isOwn = check.isOwn(response, connection.mayCarryCopies)
+                connection.release(isOwn).also { isReleased = true }
+                response.takeIf { isOwn }
+            }
         } finally {
-            connection.cancel(pending)
+            if (!isReleased) connection.close()
         }
     }
 
