--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BlockScan.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/BlockScan.kt
@@ -22,7 +22,7 @@
         if (!event.hasId) return
         idStart = event.idStart
         idEnd = event.idEnd
-        idRanges += event.idStart until event.idEnd
+        if (event.hasData) idRanges += event.idStart until event.idEnd
     }
 
     fun toBlock(buffer: ByteArray): EventBlock {
--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventBlock.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/pipeline/EventBlock.kt
@@ -6,7 +6,7 @@
     val bytes: ByteArray,
     /** Value of the last `id` field; null if no event has one. */
     val lastEventId: String?,
-    /** Numeric ids of the events; events with other ids, or without one, are left out. */
+    /** Numeric ids of the events with data; those with other ids, or without one, are left out. */
     val ids: LongArray,
     /** Number of events with data; an engine may also send comments to keep the connection open. */
     val dataEvents: Int,
