--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScan.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScan.kt
@@ -54,7 +54,7 @@
     private fun finds(char: Char): Boolean {
         when (state) {
             State.BODY -> matchVersion(char)
-            State.STATUS_LINE -> if (char == '\n') beginHeader() else checkStatus(char)
+            State.STATUS_LINE -> if (char == '\n' && hasStatus) beginHeader() else checkStatus(char)
             State.HEADER_NAME -> return finishesEndpointHeader(char)
             State.HEADER_VALUE -> if (char == '\n') beginHeader()
         }
@@ -94,12 +94,14 @@
                 hasHeader = true
                 state = State.HEADER_VALUE
             }
-            line.length < MAX_NAME_CHARS && (char.isLetterOrDigit() || char == '-') -> line.append(char.lowercaseChar())
+            line.length < MAX_NAME_CHARS && isNameChar(char) -> line.append(char.lowercaseChar())
             else -> returnToBody(char)
         }
         return false
     }
 
+    private fun isNameChar(char: Char) = char.isLetterOrDigit() || char in NAME_SYMBOLS
+
     private fun returnToBody(char: Char) {
         reset()
         matchVersion(char)
@@ -111,6 +113,9 @@
         /** Shape of what follows [VERSION]: digits and spaces. */
         const val STATUS = "0 000"
         const val MAX_NAME_CHARS = 64
+
+        /** What a header name may contain beside letters and digits. */
+        const val NAME_SYMBOLS = "!#$%&'*+-.^_`|~"
         const val BYTE_MASK = 0xff
     }
 }
--- a/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScanSpec.kt
+++ b/knapweedferry-routing/src/test/kotlin/io/knapweedferry/routing/upstream/EmbeddedResponseScanSpec.kt
@@ -22,6 +22,8 @@
         AFTER_HEAD("HTTP/1.1 200 OK\r\nServer: s\r\n\r\nX-Mark: 1\r\n", false),
         PROSE("Send HTTP/1.1 requests, HTTP/1.1 200 is fine. X-Mark: is a header.", false),
         REQUEST_LINE("GET / HTTP/1.1\r\nX-Mark: 1\r\n\r\n", false),
+        NAME_WITH_SYMBOLS("HTTP/1.1 200 OK\r\nx_trace.id: 1\r\nX-Mark: 1\r\n\r\n", true),
+        VERSION_ALONE("use HTTP/1.\nX-Mark: 1\n", false),
         NO_STATUS("HTTP/1.1 OK\r\nX-Mark: 1", false),
     }
 
