--- a/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
+++ b/knapweedferry-routing/src/main/kotlin/io/knapweedferry/routing/http/NettyReply.kt
@@ -43,13 +43,16 @@
     ) {
         val response = responseHead(status)
         response.headers().add(headers)
-        if (method != HttpMethod.HEAD) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        if (!isBodyless(status)) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         hasStarted = true
         setConnectionHeader(response)
         context.write(response)
         writeLast(DefaultLastHttpContent(Unpooled.wrappedBuffer(body)))
     }
 
+    /** The length in such a response is that of a body which is not sent. */
+    private fun isBodyless(status: Int) = method == HttpMethod.HEAD || status == HttpResponseStatus.NOT_MODIFIED.code()
+
     private fun responseHead(status: Int): HttpResponse {
         val httpStatus = HttpResponseStatus.valueOf(status)
         return if (method == HttpMethod.HEAD) HeadResponse(httpStatus) else DefaultHttpResponse(HttpVersion.HTTP_1_1, httpStatus)
